Set down the shape: core types, wire frames, HTTP, platform client and settings

Cause: an empty repository; the users ask for vertical slices, one task for each connection, std::chrono in every signature, concepts for what varies and one test program for each library.

--- /dev/null
+++ b/src/core/eventlog.cpp
@@ -0,0 +1,70 @@
+#include "core/eventlog.h"
+
+#include <glog/logging.h>
+
+namespace currantpitch::core {
+
+namespace {
+
+bool silenced = false;
+
+bool needs_quotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+}
+
+std::string quoted(std::string_view value)
+{
+    std::string text = "\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            text += '\\';
+        }
+        const bool control = static_cast<unsigned char>(c) < 0x20;
+        text += control ? ' ' : c;
+    }
+    return text + "\"";
+}
+
+} // namespace
+
+log_event::log_event(std::string_view event, level severity) : severity_(severity)
+{
+    field("event", event);
+}
+
+log_event::~log_event()
+{
+    if (silenced) {
+        return;
+    }
+    switch (severity_) {
+    case level::info:
+        LOG(INFO) << line_;
+        break;
+    case level::warning:
+        LOG(WARNING) << line_;
+        break;
+    case level::error:
+        LOG(ERROR) << line_;
+        break;
+    }
+}
+
+log_event& log_event::field(std::string_view key, std::string_view value)
+{
+    if (!line_.empty()) {
+        line_ += ' ';
+    }
+    line_.append(key);
+    line_ += '=';
+    line_ += needs_quotes(value) ? quoted(value) : std::string(value);
+    return *this;
+}
+
+void silence_log()
+{
+    silenced = true;
+}
+
+} // namespace currantpitch::core
--- /dev/null
+++ b/src/core/eventlog.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace currantpitch::core {
+
+/// One log line of key=value pairs, written when the object goes out of scope. Values with
+/// spaces, quotes or line ends are quoted and escaped.
+class log_event {
+public:
+    enum class level { info, warning, error };
+
+    explicit log_event(std::string_view event, level severity = level::info);
+    log_event(const log_event&) = delete;
+    log_event& operator=(const log_event&) = delete;
+    ~log_event();
+
+    log_event& field(std::string_view key, std::string_view value);
+
+    template <class T>
+    log_event& field(std::string_view key, const T& value)
+    {
+        std::ostringstream text;
+        text << value;
+        return field(key, std::string_view(text.str()));
+    }
+
+private:
+    std::string line_;
+    level severity_;
+};
+
+/// Keeps log lines out of the output of tests and measurements.
+void silence_log();
+
+} // namespace currantpitch::core
--- /dev/null
+++ b/src/core/identifiers.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace currantpitch::core {
+
+/// A name that cannot be mixed up with a name of another kind. Tag is never defined.
+template <class Tag>
+class name {
+public:
+    name() = default;
+    explicit name(std::string value) : value_(std::move(value)) {}
+
+    const std::string& str() const { return value_; }
+    bool empty() const { return value_.empty(); }
+
+    friend bool operator==(const name&, const name&) = default;
+    friend std::strong_ordering operator<=>(const name&, const name&) = default;
+    friend std::ostream& operator<<(std::ostream& out, const name& n) { return out << n.value_; }
+
+private:
+    std::string value_;
+};
+
+/// A number that cannot be mixed up with a number of another kind. Tag is never defined.
+template <class Tag>
+struct number {
+    std::uint64_t value = 0;
+
+    friend bool operator==(const number&, const number&) = default;
+    friend std::strong_ordering operator<=>(const number&, const number&) = default;
+    friend std::ostream& operator<<(std::ostream& out, const number& n) { return out << n.value; }
+
+    number next() const { return number{value + 1}; }
+};
+
+using host_id = name<struct host_tag>;
+using failure_domain_id = name<struct failure_domain_tag>;
+using workspace_id = name<struct workspace_tag>;
+using endpoint_id = name<struct endpoint_tag>;
+/// A model group or a plain service: whatever a workspace can be served by.
+using service_id = name<struct service_tag>;
+
+/// Random number drawn when a process starts; tells two lives of one host apart.
+using incarnation = number<struct incarnation_tag>;
+/// Number of a session between two processes; rises with each reconnection.
+using epoch = number<struct epoch_tag>;
+/// Number of an attempt under one entry incarnation; never reused.
+using attempt_number = number<struct attempt_tag>;
+/// Fencing number of a group's leadership.
+using fence = number<struct fence_tag>;
+/// Version of an expert map.
+using map_version = number<struct map_version_tag>;
+/// Index of a lock-step step of a model group.
+using step_number = number<struct step_tag>;
+/// Version of an object in the platform's store; rises over the whole store.
+using revision = number<struct revision_tag>;
+
+} // namespace currantpitch::core
+
+template <class Tag>
+struct std::hash<currantpitch::core::name<Tag>> {
+    std::size_t operator()(const currantpitch::core::name<Tag>& n) const noexcept
+    {
+        return std::hash<std::string>()(n.str());
+    }
+};
+
+template <class Tag>
+struct std::hash<currantpitch::core::number<Tag>> {
+    std::size_t operator()(const currantpitch::core::number<Tag>& n) const noexcept
+    {
+        return std::hash<std::uint64_t>()(n.value);
+    }
+};
--- /dev/null
+++ b/src/core/runtimeclock.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+
+namespace currantpitch::core {
+
+/// The clock of the runtime. It follows the steady clock until a test pauses it; from then on it
+/// moves only through advance_to. Meets the standard's Clock requirements.
+class runtime_clock {
+public:
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<runtime_clock>;
+    using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
+    static constexpr bool is_steady = true;
+
+    static time_point now();
+    /// Calendar time, for what outlives a process: issue times and expiry of stored records.
+    static wall_time wall_now();
+
+    static bool paused();
+    /// Stops the clock at a fixed time point. Tests only.
+    static void pause();
+    /// Moves a paused clock; going back is ignored.
+    static void advance_to(time_point t);
+    /// Lets the clock follow the steady clock again.
+    static void resume();
+};
+
+using time_point = runtime_clock::time_point;
+using duration = runtime_clock::duration;
+using wall_time = runtime_clock::wall_time;
+
+} // namespace currantpitch::core
--- /dev/null
+++ b/src/http/clientconnection.cpp
@@ -0,0 +1,221 @@
+#include "http/clientconnection.h"
+
+#include "http/httpconstants.h"
+#include "wire/framedconnection.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace currantpitch::http {
+
+namespace beast = boost::beast;
+namespace asio = core::asio;
+using core::errc;
+using core::error;
+
+namespace {
+
+constexpr std::size_t stream_piece_bytes = 8 * 1024;
+
+beast::http::request<beast::http::string_body> to_beast(request message)
+{
+    beast::http::request<beast::http::string_body> out;
+    out.method_string(message.method);
+    out.target(message.target);
+    out.version(11);
+    out.set(beast::http::field::host, "currantpitch");
+    for (const header& h : message.headers) {
+        out.set(h.name, h.value);
+    }
+    out.body() = std::move(message.body);
+    out.prepare_payload();
+    return out;
+}
+
+template <class Fields>
+response head_of(const Fields& message)
+{
+    response head;
+    head.status = message.result_int();
+    for (const beast::http::fields::value_type& field : message) {
+        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    head.content_type = head.header_value("Content-Type").value_or("");
+    return head;
+}
+
+} // namespace
+
+class client_connection::implementation {
+public:
+    explicit implementation(const asio::any_io_executor& executor) : socket_(executor) {}
+
+    core::task<core::result<void>> send(request message);
+    core::task<core::result<response>> exchange(request message);
+    core::task<core::result<response>> open_stream(request message);
+    core::task<core::result<std::string>> read_some();
+    void close();
+
+    asio::ip::tcp::socket socket_;
+
+private:
+    using stream_parser = beast::http::response_parser<beast::http::buffer_body>;
+
+    beast::flat_buffer buffer_;
+    std::optional<stream_parser> stream_;
+};
+
+core::task<core::result<void>> client_connection::implementation::send(request message)
+{
+    beast::http::request<beast::http::string_body> out = to_beast(std::move(message));
+    boost::system::error_code failure;
+    co_await beast::http::async_write(socket_, out,
+                                      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return error{errc::closed, failure.message()};
+    }
+    co_return core::ok();
+}
+
+core::task<core::result<response>> client_connection::implementation::exchange(request message)
+{
+    const core::result<void> sent = co_await send(std::move(message));
+    if (!sent) {
+        co_return sent.error();
+    }
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(64 * max_body_bytes);
+    boost::system::error_code failure;
+    co_await beast::http::async_read(socket_, buffer_, parser,
+                                     asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return error{errc::closed, failure.message()};
+    }
+    response whole = head_of(parser.get());
+    whole.body = std::move(parser.get().body());
+    if (!parser.keep_alive()) {
+        close();
+    }
+    co_return whole;
+}
+
+core::task<core::result<response>> client_connection::implementation::open_stream(request message)
+{
+    const core::result<void> sent = co_await send(std::move(message));
+    if (!sent) {
+        co_return sent.error();
+    }
+    stream_.emplace();
+    stream_->body_limit(boost::none);
+    boost::system::error_code failure;
+    co_await beast::http::async_read_header(socket_, buffer_, *stream_,
+                                            asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return error{errc::closed, failure.message()};
+    }
+    co_return head_of(stream_->get());
+}
+
+core::task<core::result<std::string>> client_connection::implementation::read_some()
+{
+    // Chunk heads can be read without any bytes of the body, which is not the end of the body.
+    while (stream_ && !stream_->is_done()) {
+        std::string piece(stream_piece_bytes, '\0');
+        stream_->get().body().data = piece.data();
+        stream_->get().body().size = piece.size();
+        boost::system::error_code failure;
+        co_await beast::http::async_read_some(socket_, buffer_, *stream_,
+                                              asio::redirect_error(asio::use_awaitable, failure));
+        if (failure && failure != beast::http::error::need_buffer) {
+            co_return error{errc::closed, failure.message()};
+        }
+        piece.resize(piece.size() - stream_->get().body().size);
+        if (!piece.empty()) {
+            co_return piece;
+        }
+    }
+    co_return std::string();
+}
+
+void client_connection::implementation::close()
+{
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+client_connection::client_connection(const asio::any_io_executor& executor)
+    : impl_(std::make_unique<implementation>(executor))
+{
+}
+
+client_connection::client_connection(client_connection&&) noexcept = default;
+client_connection& client_connection::operator=(client_connection&&) noexcept = default;
+client_connection::~client_connection() = default;
+
+core::task<core::result<void>> client_connection::connect(asio::ip::tcp::endpoint address,
+                                                          core::time_point deadline)
+{
+    core::result<asio::ip::tcp::socket> connected = co_await wire::connect(address, deadline);
+    if (!connected) {
+        co_return connected.error();
+    }
+    impl_->socket_ = std::move(connected.value());
+    boost::system::error_code ignored;
+    impl_->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return core::ok();
+}
+
+bool client_connection::is_open() const
+{
+    return impl_->socket_.is_open();
+}
+
+void client_connection::close()
+{
+    impl_->close();
+}
+
+core::task<core::result<response>> client_connection::exchange(request message,
+                                                               core::time_point deadline)
+{
+    core::task<core::result<response>> work = impl_->exchange(std::move(message));
+    core::result<response> answer = co_await core::with_deadline(std::move(work), deadline);
+    if (!answer) {
+        impl_->close();
+    }
+    co_return answer;
+}
+
+core::task<core::result<response>> client_connection::open_stream(request message,
+                                                                  core::time_point deadline)
+{
+    core::task<core::result<response>> work = impl_->open_stream(std::move(message));
+    core::result<response> head = co_await core::with_deadline(std::move(work), deadline);
+    if (!head) {
+        impl_->close();
+    }
+    co_return head;
+}
+
+core::task<core::result<std::string>> client_connection::read_some(core::time_point deadline)
+{
+    core::task<core::result<std::string>> work = impl_->read_some();
+    core::result<std::string> piece = co_await core::with_deadline(std::move(work), deadline);
+    if (!piece) {
+        impl_->close();
+    }
+    co_return piece;
+}
+
+std::optional<std::string> record_splitter::next()
+{
+    const std::size_t end = buffer_.find(separator_);
+    if (end == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string record = buffer_.substr(0, end);
+    buffer_.erase(0, end + separator_.size());
+    return record;
+}
+
+} // namespace currantpitch::http
--- /dev/null
+++ b/src/http/clientconnection.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/task.h"
+#include "core/timer.h"
+#include "http/httpmessage.h"
+
+#include <memory>
+
+namespace currantpitch::http {
+
+/// A connection to an HTTP server that carries one exchange at a time. Deadlines are the caller's.
+class client_connection {
+public:
+    explicit client_connection(const core::asio::any_io_executor& executor);
+    client_connection(client_connection&&) noexcept;
+    client_connection& operator=(client_connection&&) noexcept;
+    ~client_connection();
+
+    core::task<core::result<void>> connect(core::asio::ip::tcp::endpoint address,
+                                           core::time_point deadline);
+    bool is_open() const;
+    void close();
+
+    /// Sends the request and reads the whole response. On an error the connection is closed, and
+    /// whether the server acted is not known.
+    core::task<core::result<response>> exchange(request message, core::time_point deadline);
+
+    /// Sends the request and reads the head of the response; its body is read with read_some.
+    core::task<core::result<response>> open_stream(request message, core::time_point deadline);
+    /// Further bytes of the body; empty at its proper end. errc::closed when it was cut off.
+    core::task<core::result<std::string>> read_some(core::time_point deadline);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+/// Cuts a server-sent event stream or newline-separated stream into its records.
+class record_splitter {
+public:
+    explicit record_splitter(std::string separator) : separator_(std::move(separator)) {}
+    void add(std::string_view bytes) { buffer_.append(bytes); }
+    /// The next whole record without its separator; nothing until more bytes come.
+    std::optional<std::string> next();
+
+private:
+    std::string separator_;
+    std::string buffer_;
+};
+
+} // namespace currantpitch::http
--- /dev/null
+++ b/src/http/httpmessage.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantpitch::http {
+
+/// One header field of a message.
+struct header {
+    std::string name;
+    std::string value;
+};
+
+/// A request with its whole body. The target is the path with its query.
+struct request {
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<header> headers;
+    std::string body;
+
+    /// Value of the header, compared without case; nothing when absent.
+    std::optional<std::string> header_value(std::string_view name) const;
+    /// The target without its query.
+    std::string_view path() const;
+    /// Decoded value of a query parameter; nothing when absent.
+    std::optional<std::string> query(std::string_view name) const;
+};
+
+/// A whole response.
+struct response {
+    unsigned status = 200;
+    std::string content_type = "application/json";
+    std::vector<header> headers;
+    std::string body;
+
+    std::optional<std::string> header_value(std::string_view name) const;
+};
+
+/// The text with everything outside letters, digits and "-._~" written as %XX.
+std::string percent_encode(std::string_view text);
+
+} // namespace currantpitch::http
--- /dev/null
+++ b/src/http/serverconnection.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/task.h"
+#include "core/timer.h"
+#include "http/httpmessage.h"
+
+#include <memory>
+
+namespace currantpitch::http {
+
+/// One connection of a caller. Requests are read and answered one after another; an answer is
+/// either whole or a stream of chunks. A stream that ends without end_stream lacks its terminating
+/// chunk, so that the caller cannot take it for whole.
+class server_connection {
+public:
+    explicit server_connection(core::asio::ip::tcp::socket socket);
+    server_connection(const server_connection&) = delete;
+    server_connection& operator=(const server_connection&) = delete;
+    ~server_connection();
+
+    /// The next request. errc::closed at the end, errc::malformed for what is not HTTP and
+    /// errc::too_large over the size bounds; the last two have been answered with 400 and 413.
+    core::task<core::result<request>> read_request();
+    core::task<core::result<void>> reply(response answer);
+    core::task<core::result<void>> begin_stream(std::string content_type);
+    core::task<core::result<void>> write_chunk(std::string chunk);
+    core::task<core::result<void>> end_stream();
+
+    void close();
+    /// Whether a further request may be read.
+    bool reusable() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+/// Accepts connections until the acceptor closes, with one task for each. The handler is called as
+/// handler(server_connection&, const request&) -> task<void> for each request and outlives them.
+template <class Handler>
+core::task<void> serve(core::asio::ip::tcp::acceptor& acceptor, Handler& handler)
+{
+    while (acceptor.is_open()) {
+        boost::system::error_code failure;
+        core::asio::ip::tcp::socket socket = co_await acceptor.async_accept(
+            core::asio::redirect_error(core::asio::use_awaitable, failure));
+        if (failure == core::asio::error::operation_aborted) {
+            co_return;
+        }
+        if (failure) {
+            // Out of descriptors, most likely: give other tasks time to release some.
+            co_await core::sleep_for(std::chrono::milliseconds(100));
+            continue;
+        }
+        core::spawn(acceptor.get_executor(),
+                    [](core::asio::ip::tcp::socket s, Handler& h) -> core::task<void> {
+                        server_connection connection(std::move(s));
+                        while (connection.reusable()) {
+                            const core::result<request> received =
+                                co_await connection.read_request();
+                            if (!received) {
+                                co_return;
+                            }
+                            co_await h(connection, received.value());
+                        }
+                    }(std::move(socket), handler));
+    }
+}
+
+} // namespace currantpitch::http
--- /dev/null
+++ b/src/platform/httpplatform.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "http/clientconnection.h"
+#include "platform/platformclient.h"
+
+#include <deque>
+
+namespace currantpitch::platform {
+
+/// A watch over HTTP: one JSON event a line.
+class http_watch {
+public:
+    explicit http_watch(http::client_connection connection)
+        : connection_(std::move(connection)), lines_("\n")
+    {
+    }
+    core::task<core::result<watch_event>> next(core::time_point deadline);
+
+private:
+    http::client_connection connection_;
+    http::record_splitter lines_;
+};
+
+/// The platform's store over HTTP. Keeps a few connections open between calls.
+class http_platform {
+public:
+    using watch_type = http_watch;
+
+    http_platform(const core::asio::any_io_executor& executor,
+                  core::asio::ip::tcp::endpoint address);
+
+    core::task<core::result<object>> get(object_key key, call_context call);
+    core::task<core::result<listing>> list(std::vector<std::string> kinds, call_context call);
+    core::task<core::result<object>> put(object_key key, std::string body, core::revision expected,
+                                         call_context call);
+    core::task<core::result<object>> remove(object_key key, core::revision expected,
+                                            call_context call);
+    core::task<core::result<http_watch>> watch(std::vector<std::string> kinds, core::revision from,
+                                               call_context call);
+
+private:
+    core::task<core::result<http::client_connection>> connection(core::time_point deadline);
+    core::task<core::result<std::string>> call(http::request message, call_context call);
+
+    core::asio::any_io_executor executor_;
+    core::asio::ip::tcp::endpoint address_;
+    std::deque<http::client_connection> idle_;
+};
+
+static_assert(platform_client<http_platform>);
+
+} // namespace currantpitch::platform
--- /dev/null
+++ b/src/platform/platformconstants.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace currantpitch::platform {
+
+/// Time for one call to the platform before its outcome counts as not known.
+inline constexpr std::chrono::milliseconds call_timeout{1500};
+/// Interval at which a watch carries a bookmark when nothing changes.
+inline constexpr std::chrono::milliseconds bookmark_interval{1000};
+/// Silence after which a watch counts as dead and is opened again.
+inline constexpr std::chrono::milliseconds watch_silence_limit{2500};
+/// Largest body of an object, in bytes.
+inline constexpr std::size_t max_object_bytes = 1024 * 1024;
+/// Idle connections that a process keeps to the platform.
+inline constexpr std::size_t max_idle_connections = 4;
+
+} // namespace currantpitch::platform
--- /dev/null
+++ b/src/platform/tests/tst_platform.cpp
@@ -0,0 +1,117 @@
+#include "fakes/platformserver.h"
+#include "platform/httpplatform.h"
+#include "platform/internal/platformcodec.h"
+#include "platform/platformconstants.h"
+
+#include "support/rapidcheck.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+namespace asio = core::asio;
+
+namespace {
+
+platform::call_context within(core::duration d)
+{
+    return {"test", core::runtime_clock::now() + d};
+}
+
+// Runs a script against the store in memory through the HTTP client and server.
+template <class Script>
+void run_with_server(Script script)
+{
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor acceptor(
+        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    fakes::memory_platform store(context.get_executor());
+    fakes::platform_server server(store);
+    platform::http_platform client(context.get_executor(), acceptor.local_endpoint());
+    core::spawn(context.get_executor(), http::serve(acceptor, server));
+    asio::co_spawn(context, script(client, store), [&context](std::exception_ptr failure) {
+        context.stop();
+        CHECK(failure == nullptr);
+    });
+    context.run_for(std::chrono::seconds(20));
+}
+
+} // namespace
+
+TEST_GROUP(http_client){};
+
+TEST(http_client, writes_are_conditional)
+{
+    run_with_server([](platform::http_platform& client,
+                       fakes::memory_platform&) -> core::task<void> {
+        const platform::object_key key{"Workspace", "mali koderi/1"};
+        const core::result<platform::object> created =
+            co_await client.put(key, "one", {}, within(std::chrono::seconds(5)));
+        CHECK(created.has_value());
+        const core::result<platform::object> again =
+            co_await client.put(key, "two", {}, within(std::chrono::seconds(5)));
+        CHECK(again.error().code == core::errc::conflict);
+        const core::result<platform::object> updated = co_await client.put(
+            key, "two", created.value().version, within(std::chrono::seconds(5)));
+        CHECK(updated.value().version > created.value().version);
+        const core::result<platform::object> read =
+            co_await client.get(key, within(std::chrono::seconds(5)));
+        CHECK(read.value() == updated.value());
+        const core::result<platform::object> gone = co_await client.remove(
+            key, updated.value().version, within(std::chrono::seconds(5)));
+        CHECK(gone.value().deleted);
+        CHECK((co_await client.get(key, within(std::chrono::seconds(5)))).error().code ==
+              core::errc::not_found);
+    });
+}
+
+TEST(http_client, watch_carries_changes_and_deletions)
+{
+    run_with_server([](platform::http_platform& client,
+                       fakes::memory_platform& store) -> core::task<void> {
+        const platform::object_key key{"Workspace", "a"};
+        const std::vector<std::string> kinds(1, "Workspace");
+        core::result<platform::http_watch> watch =
+            co_await client.watch(kinds, {}, within(std::chrono::seconds(5)));
+        const core::result<platform::object> created =
+            co_await store.put(key, "one", {}, within(std::chrono::seconds(5)));
+        const platform::object_key other{"Other", "x"};
+        co_await store.put(other, "one", {}, within(std::chrono::seconds(5)));
+        co_await store.remove(key, created.value().version, within(std::chrono::seconds(5)));
+        const core::time_point deadline = core::runtime_clock::now() + std::chrono::seconds(5);
+        const core::result<platform::watch_event> first = co_await watch.value().next(deadline);
+        CHECK(first.value().changed->body == "one");
+        const core::result<platform::watch_event> second = co_await watch.value().next(deadline);
+        CHECK(second.value().changed->deleted);
+    });
+}
+
+TEST(http_client, outage_and_lost_answer_are_told_apart)
+{
+    run_with_server([](platform::http_platform& client,
+                       fakes::memory_platform& store) -> core::task<void> {
+        const platform::object_key key{"Workspace", "a"};
+        store.faults.away = true;
+        const core::result<platform::object> refused =
+            co_await client.put(key, "one", {}, within(std::chrono::seconds(5)));
+        CHECK(refused.error().code == core::errc::unavailable);
+        store.faults.away = false;
+        store.faults.lose_answers = 1;
+        const core::result<platform::object> lost =
+            co_await client.put(key, "one", {}, within(std::chrono::milliseconds(100)));
+        CHECK(platform::effect_unknown(lost.error()));
+        const core::result<platform::object> read =
+            co_await client.get(key, within(std::chrono::seconds(5)));
+        CHECK(read.value().body == "one");
+    });
+}
+
+TEST_GROUP(platform_codec){};
+
+TEST(platform_codec, arbitrary_text_is_refused_or_decoded)
+{
+    CHECK_PROPERTY("arbitrary text", [](const std::string& text) {
+        RC_ASSERT(platform::object_from_json(text).has_error());
+        RC_ASSERT(platform::listing_from_json(text).has_error());
+        RC_ASSERT(platform::event_from_json(text).has_error());
+    });
+}
--- /dev/null
+++ b/src/settings/daemonsettings.cpp
@@ -0,0 +1,112 @@
+#include "settings/daemonsettings.h"
+
+#include "settings/internal/yamlreader.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace currantpitch::settings {
+
+namespace {
+
+void read_entry(yaml_reader& root, daemon_settings& s)
+{
+    s.role = process_role::entry;
+    yaml_reader listen = root.required_section("listen");
+    s.caller_address = listen.required_address("callers");
+    s.peer_address = listen.required_address("peers");
+    listen.finish();
+    s.seed_peers = root.optional_addresses("seed_peers");
+    s.address_lifetime =
+        root.optional_duration("address_lifetime", default_address_lifetime,
+                               shortest_address_lifetime, longest_address_lifetime);
+    s.ledger_shards =
+        root.optional_number("ledger_shards", default_ledger_shards, 1, most_ledger_shards);
+}
+
+void read_agent(yaml_reader& root, daemon_settings& s)
+{
+    s.role = process_role::agent;
+    yaml_reader listen = root.required_section("listen");
+    s.peer_address = listen.required_address("peers");
+    listen.finish();
+    yaml_reader endpoint = root.required_section("endpoint");
+    s.endpoint_name = core::endpoint_id(endpoint.required_text("name"));
+    s.endpoint_address = endpoint.required_address("address");
+    s.endpoint = endpoint.required_choice("type", {"engine", "service"}) == 0
+                     ? endpoint_type::engine
+                     : endpoint_type::service;
+    endpoint.finish();
+}
+
+} // namespace
+
+settings_report read_settings(const std::string& text, const std::string& file_name)
+{
+    settings_report report;
+    YAML::Node document;
+    try {
+        document = YAML::Load(text);
+    }
+    catch (const YAML::ParserException& e) {
+        report.problems.push_back({file_name + ":" + std::to_string(e.mark.line + 1) + ":" +
+                                       std::to_string(e.mark.column + 1),
+                                   e.msg});
+        return report;
+    }
+    yaml_reader root(document, "", file_name, report.problems);
+    daemon_settings s;
+    const bool is_entry = root.required_choice("role", {"entry", "agent"}) == 0;
+    s.host = core::host_id(root.required_text("host"));
+    s.failure_domain = core::failure_domain_id(root.required_text("failure_domain"));
+    s.platform_address = root.required_address("platform");
+    s.stop_timeout =
+        root.optional_duration("stop_timeout", default_stop_timeout, {}, longest_stop_timeout);
+    if (is_entry) {
+        read_entry(root, s);
+    }
+    else {
+        read_agent(root, s);
+    }
+    root.finish();
+    if (report.problems.empty()) {
+        report.settings = std::move(s);
+    }
+    return report;
+}
+
+settings_report load_settings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return {{{path, "cannot be read"}}, std::nullopt};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return read_settings(text.str(), path);
+}
+
+std::optional<std::chrono::milliseconds> parse_duration(const std::string& text)
+{
+    constexpr std::int64_t largest_count = 1'000'000'000;
+    std::int64_t count = 0;
+    const char* const last = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), last, count);
+    if (parsed.ec != std::errc() || count < 0 || count > largest_count) {
+        return std::nullopt;
+    }
+    const std::string unit(parsed.ptr, last);
+    if (unit == "ms") {
+        return std::chrono::milliseconds(count);
+    }
+    if (unit == "s") {
+        return std::chrono::seconds(count);
+    }
+    if (unit == "m") {
+        return std::chrono::minutes(count);
+    }
+    return std::nullopt;
+}
+
+} // namespace currantpitch::settings
--- /dev/null
+++ b/src/settings/settingsconstants.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+
+namespace currantpitch::settings {
+
+/// Lifetime of an address answer when the settings name none.
+inline constexpr std::chrono::seconds default_address_lifetime{10};
+/// Time for requests in flight to finish in a planned stop when the settings name none.
+inline constexpr std::chrono::seconds default_stop_timeout{60};
+/// Bounds of the times in the settings.
+inline constexpr std::chrono::milliseconds shortest_address_lifetime{1000};
+inline constexpr std::chrono::minutes longest_address_lifetime{10};
+inline constexpr std::chrono::minutes longest_stop_timeout{60};
+/// Ledger shards when the settings name none; all entries must agree on the number.
+inline constexpr unsigned default_ledger_shards = 16;
+inline constexpr unsigned most_ledger_shards = 4096;
+
+} // namespace currantpitch::settings
--- /dev/null
+++ b/src/wire/wireconstants.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace currantpitch::wire {
+
+/// First byte of each frame; a frame with another value closes the session.
+inline constexpr std::uint8_t protocol_version = 1;
+/// Bytes of a frame's length field (big endian), which counts version byte and payload.
+inline constexpr std::size_t length_field_bytes = 4;
+/// Largest version byte plus payload that is sent or accepted, in bytes.
+inline constexpr std::size_t max_frame_bytes = 4 * 1024 * 1024;
+/// Largest amount of frames that wait to be written to one peer, in bytes.
+inline constexpr std::size_t max_queued_bytes = 16 * 1024 * 1024;
+
+/// Interval at which each side of a session sends a heartbeat.
+inline constexpr std::chrono::milliseconds heartbeat_interval{500};
+/// Silence after which a session counts as dead.
+inline constexpr std::chrono::milliseconds silence_limit{2000};
+
+} // namespace currantpitch::wire
--- /dev/null
+++ b/tests/fakes/memoryplatform.cpp
@@ -0,0 +1,159 @@
+#include "fakes/memoryplatform.h"
+
+#include "platform/platformconstants.h"
+
+namespace currantpitch::fakes {
+
+using core::errc;
+using core::error;
+using platform::call_context;
+using platform::object;
+using platform::object_key;
+
+memory_watch::memory_watch(memory_platform& store, std::vector<std::string> kinds,
+                           core::revision from)
+    : store_(&store), kinds_(kinds.begin(), kinds.end()), seen_(from)
+{
+}
+
+core::task<core::result<platform::watch_event>> memory_watch::next(core::time_point deadline)
+{
+    const core::time_point bookmark_due =
+        core::runtime_clock::now() + platform::bookmark_interval;
+    while (core::runtime_clock::now() < deadline) {
+        const bool silent = store_->faults.watches_silent;
+        if (store_->faults.away) {
+            co_return error{errc::closed, "the store is away"};
+        }
+        const std::deque<object>& history = store_->history();
+        for (auto it = history.begin(); !silent && it != history.end(); ++it) {
+            if (it->version > seen_ && kinds_.contains(it->key.kind)) {
+                seen_ = it->version;
+                co_return platform::watch_event{*it, seen_};
+            }
+        }
+        if (!silent && core::runtime_clock::now() >= bookmark_due) {
+            seen_ = store_->last();
+            co_return platform::watch_event{std::nullopt, seen_};
+        }
+        co_await store_->news_.wait_until(silent ? deadline : std::min(deadline, bookmark_due));
+    }
+    co_return error{errc::timeout, "the watch is silent"};
+}
+
+core::task<core::result<void>> memory_platform::begin(call_context call)
+{
+    ++calls[std::string(call.cause)];
+    if (faults.delay > core::duration::zero()) {
+        co_await core::sleep_for(faults.delay);
+    }
+    if (faults.away) {
+        co_return error{errc::unavailable, "the store is away"};
+    }
+    if (core::runtime_clock::now() > call.deadline) {
+        co_return error{errc::timeout, "the store is slow"};
+    }
+    co_return core::ok();
+}
+
+core::result<object> memory_platform::change(object_key key, std::string body,
+                                             core::revision expected, bool deleted)
+{
+    const std::map<object_key, object>::iterator found = objects_.find(key);
+    const bool present = found != objects_.end() && !found->second.deleted;
+    const core::revision current = present ? found->second.version : core::revision{0};
+    if (deleted && !present) {
+        return error{errc::not_found, "no such object"};
+    }
+    if (current != expected) {
+        return error{errc::conflict, "the object has another version"};
+    }
+    last_ = last_.next();
+    object changed{key, last_, std::move(body), deleted};
+    objects_[key] = changed;
+    history_.push_back(changed);
+    news_.notify();
+    return changed;
+}
+
+core::task<core::result<object>> memory_platform::answer_write(object written, call_context call)
+{
+    if (faults.lose_answers == 0) {
+        co_return written;
+    }
+    --faults.lose_answers;
+    core::timer t(co_await core::asio::this_coro::executor);
+    co_await t.wait_until(call.deadline);
+    co_return error{errc::timeout, "the answer was lost"};
+}
+
+core::task<core::result<object>> memory_platform::get(object_key key, call_context call)
+{
+    const core::result<void> begun = co_await begin(call);
+    if (!begun) {
+        co_return begun.error();
+    }
+    const std::map<object_key, object>::const_iterator found = objects_.find(key);
+    if (found == objects_.end() || found->second.deleted) {
+        co_return error{errc::not_found, "no such object"};
+    }
+    co_return found->second;
+}
+
+core::task<core::result<platform::listing>> memory_platform::list(std::vector<std::string> kinds,
+                                                                  call_context call)
+{
+    const core::result<void> begun = co_await begin(call);
+    if (!begun) {
+        co_return begun.error();
+    }
+    const std::set<std::string> wanted(kinds.begin(), kinds.end());
+    platform::listing found{last_, {}};
+    for (const std::pair<const object_key, object>& entry : objects_) {
+        if (!entry.second.deleted && wanted.contains(entry.first.kind)) {
+            found.objects.push_back(entry.second);
+        }
+    }
+    co_return found;
+}
+
+core::task<core::result<object>> memory_platform::put(object_key key, std::string body,
+                                                      core::revision expected, call_context call)
+{
+    const core::result<void> begun = co_await begin(call);
+    if (!begun) {
+        co_return begun.error();
+    }
+    core::result<object> changed = change(std::move(key), std::move(body), expected, false);
+    if (!changed) {
+        co_return changed;
+    }
+    co_return co_await answer_write(std::move(changed.value()), call);
+}
+
+core::task<core::result<object>> memory_platform::remove(object_key key, core::revision expected,
+                                                         call_context call)
+{
+    const core::result<void> begun = co_await begin(call);
+    if (!begun) {
+        co_return begun.error();
+    }
+    core::result<object> changed = change(std::move(key), "", expected, true);
+    if (!changed) {
+        co_return changed;
+    }
+    co_return co_await answer_write(std::move(changed.value()), call);
+}
+
+core::task<core::result<memory_watch>> memory_platform::watch(std::vector<std::string> kinds,
+                                                              core::revision from,
+                                                              call_context call)
+{
+    const core::result<void> begun = co_await begin(call);
+    if (!begun) {
+        co_return begun.error();
+    }
+    co_return memory_watch(*this, std::move(kinds), from);
+}
+
+} // namespace currantpitch::fakes
--- /dev/null
+++ b/tests/fakes/platformserver.cpp
@@ -0,0 +1,142 @@
+#include "fakes/platformserver.h"
+
+#include "platform/internal/platformcodec.h"
+#include "platform/platformconstants.h"
+
+namespace currantpitch::fakes {
+
+namespace {
+
+platform::call_context served()
+{
+    return {"http", core::runtime_clock::now() + platform::call_timeout};
+}
+
+std::vector<std::string> kinds_of(const http::request& received)
+{
+    std::vector<std::string> kinds;
+    std::istringstream list(received.query("kinds").value_or(""));
+    std::string kind;
+    while (std::getline(list, kind, ',')) {
+        kinds.push_back(kind);
+    }
+    return kinds;
+}
+
+core::revision revision_of(const http::request& received, std::string_view name)
+{
+    return core::revision{std::strtoull(received.query(name).value_or("0").c_str(), nullptr, 10)};
+}
+
+http::response refusal(const core::error& e)
+{
+    http::response answer;
+    switch (e.code) {
+    case core::errc::not_found:
+        answer.status = 404;
+        break;
+    case core::errc::conflict:
+        answer.status = 409;
+        break;
+    case core::errc::stale:
+        answer.status = 410;
+        break;
+    default:
+        answer.status = 503;
+        break;
+    }
+    return answer;
+}
+
+} // namespace
+
+core::task<void> platform_server::operator()(http::server_connection& connection,
+                                             const http::request& received)
+{
+    if (received.path() == "/faults") {
+        set_faults(received);
+        http::response done;
+        co_await connection.reply(std::move(done));
+    }
+    else if (received.path() == "/watch") {
+        co_await answer_watch(connection, received);
+    }
+    else if (received.path() == "/objects") {
+        const core::result<platform::listing> found =
+            co_await store_.list(kinds_of(received), served());
+        http::response answer = found ? http::response{} : refusal(found.error());
+        if (found) {
+            answer.body = platform::to_json(found.value());
+        }
+        co_await connection.reply(std::move(answer));
+    }
+    else {
+        co_await answer_object(connection, received);
+    }
+}
+
+core::task<void> platform_server::answer_object(http::server_connection& connection,
+                                                const http::request& received)
+{
+    // Path form: /objects/KIND/NAME
+    http::request parts;
+    const std::string path(received.path());
+    const std::size_t slash = path.find('/', 9);
+    parts.target = "/?kind=" + path.substr(9, slash - 9) + "&name=" + path.substr(slash + 1);
+    const platform::object_key key{*parts.query("kind"), *parts.query("name")};
+    const core::revision expected = revision_of(received, "version");
+    core::result<platform::object> outcome = core::error{};
+    if (received.method == "PUT") {
+        outcome = co_await store_.put(key, received.body, expected, served());
+    }
+    else if (received.method == "DELETE") {
+        outcome = co_await store_.remove(key, expected, served());
+    }
+    else {
+        outcome = co_await store_.get(key, served());
+    }
+    if (!outcome && outcome.error().code == core::errc::timeout) {
+        connection.close();
+        co_return;
+    }
+    http::response answer = outcome ? http::response{} : refusal(outcome.error());
+    if (outcome) {
+        answer.body = platform::to_json(outcome.value());
+    }
+    co_await connection.reply(std::move(answer));
+}
+
+core::task<void> platform_server::answer_watch(http::server_connection& connection,
+                                               const http::request& received)
+{
+    core::result<memory_watch> opened =
+        co_await store_.watch(kinds_of(received), revision_of(received, "from"), served());
+    if (!opened) {
+        http::response answer = refusal(opened.error());
+        co_await connection.reply(std::move(answer));
+        co_return;
+    }
+    co_await connection.begin_stream("application/json");
+    core::result<platform::watch_event> event = co_await opened.value().next(
+        core::runtime_clock::now() + std::chrono::hours(1));
+    while (event) {
+        const core::result<void> written =
+            co_await connection.write_chunk(platform::to_json(event.value()) + "\n");
+        if (!written) {
+            co_return;
+        }
+        event = co_await opened.value().next(core::runtime_clock::now() + std::chrono::hours(1));
+    }
+    connection.close();
+}
+
+void platform_server::set_faults(const http::request& received)
+{
+    store_.faults.away = received.query("away") == "1";
+    store_.faults.watches_silent = received.query("silent") == "1";
+    store_.faults.lose_answers =
+        static_cast<unsigned>(revision_of(received, "lose_answers").value);
+    store_.faults.delay = std::chrono::milliseconds(revision_of(received, "delay_ms").value);
+}
+
+} // namespace currantpitch::fakes
