--- /dev/null
+++ b/src/sessions/attemptchannel.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/notifier.h"
+#include "sessions/attemptbook.h"
+#include "sessions/sessionmessages.h"
+
+#include <deque>
+#include <memory>
+#include <variant>
+
+namespace currantpitch::sessions {
+
+/// The session ended; what became of the attempt is not known yet.
+struct session_lost {};
+
+using attempt_event = std::variant<token, work_end, verdict, session_lost>;
+
+/// Carries what happens to one attempt from the agent's link to the task that waits for it. Its
+/// length is bounded by the credit that the task gave.
+class attempt_channel {
+public:
+    attempt_channel(const core::asio::any_io_executor& executor, attempt_identity id)
+        : news_(executor), identity_(id)
+    {
+    }
+
+    const attempt_identity& identity() const { return identity_; }
+
+    void push(attempt_event event);
+    /// The next event; nothing when the deadline passes first.
+    core::task<std::optional<attempt_event>> next(core::time_point deadline);
+
+private:
+    core::notifier news_;
+    attempt_identity identity_;
+    std::deque<attempt_event> events_;
+};
+
+} // namespace currantpitch::sessions
--- /dev/null
+++ b/src/sessions/entrysession.h
@@ -0,0 +1,313 @@
+#pragma once
+
+#include "core/counters.h"
+#include "core/eventlog.h"
+#include "core/notifier.h"
+#include "core/task.h"
+#include "sessions/attemptgate.h"
+#include "sessions/sessionsconstants.h"
+#include "wire/framedconnection.h"
+#include "wire/packer.h"
+#include "wire/unpacker.h"
+#include "wire/wireconstants.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace currantpitch::sessions {
+
+/// Where a running attempt puts its tokens. Holds them back until the entry has given credit.
+class token_sink {
+public:
+    token_sink(const core::asio::any_io_executor& executor, const start_work& work)
+        : news_(executor), number_(work.number), allowed_until_(work.resume_from + work.window),
+          may_cancel_(work.kind == work_kind::generate)
+    {
+    }
+
+    /// Connects the sink to the session that wants the tokens.
+    void attach(std::function<void(const token&)> send) { send_ = std::move(send); }
+
+    /// Passes one token on. False when the attempt has been cancelled.
+    core::task<bool> put(std::uint64_t offset, std::string text)
+    {
+        while (!cancelled_ && offset >= allowed_until_) {
+            co_await news_.wait();
+        }
+        if (cancelled_) {
+            co_return false;
+        }
+        send_(token{number_, offset, std::move(text)});
+        co_return true;
+    }
+    /// Ends when the attempt is cancelled.
+    core::task<void> cancelled()
+    {
+        while (!cancelled_) {
+            co_await news_.wait();
+        }
+    }
+    void credit(std::uint64_t tokens)
+    {
+        allowed_until_ += tokens;
+        news_.notify();
+    }
+    /// Stops a generation; a call runs on.
+    void cancel()
+    {
+        cancelled_ = may_cancel_;
+        news_.notify();
+    }
+
+private:
+    core::notifier news_;
+    core::attempt_number number_;
+    std::uint64_t allowed_until_;
+    bool may_cancel_;
+    bool cancelled_ = false;
+    std::function<void(const token&)> send_;
+};
+
+/// What an agent has before it: an endpoint that runs work and reports its load. run returns how
+/// the work ended and never throws; a refusal means that the work never started.
+template <class E>
+concept work_endpoint = requires(E& e, start_work work, token_sink& sink) {
+    { e.run(work, sink) } -> std::same_as<core::task<work_end>>;
+    { e.load() } -> std::same_as<load_report>;
+};
+
+/// The agent's side of all sessions: the gate, the running attempts and the open sessions.
+template <work_endpoint Endpoint>
+class session_host {
+public:
+    session_host(const core::asio::any_io_executor& executor, core::host_id host,
+                 core::incarnation own, Endpoint& endpoint)
+        : executor_(executor), host_(std::move(host)), own_(own), gate_(own), endpoint_(endpoint)
+    {
+    }
+
+    /// Serves one entry's session from its hello on, until it ends or is replaced.
+    core::task<void> serve(std::shared_ptr<wire::framed_connection> connection, hello h);
+
+    /// Called with each message type that is not a session message.
+    std::function<void(std::uint8_t, const std::string&)> on_other;
+
+    std::size_t running() const { return running_.size(); }
+    std::size_t sessions() const { return sessions_.size(); }
+
+private:
+    struct attempt_key {
+        core::incarnation entry;
+        core::attempt_number number;
+        friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
+    };
+
+    core::task<void> read_loop(wire::framed_connection& connection, hello h);
+    core::task<void> beat_loop(wire::framed_connection& connection);
+    core::task<void> run_attempt(core::incarnation entry, start_work work,
+                                 std::shared_ptr<token_sink> sink);
+    bool on_frame(wire::framed_connection& connection, const hello& h, const std::string& payload);
+    void on_start(wire::framed_connection& connection, const hello& h, start_work work);
+    void send_to(core::incarnation entry, std::string payload);
+    void stop_generations(core::incarnation entry);
+
+    core::asio::any_io_executor executor_;
+    core::host_id host_;
+    core::incarnation own_;
+    attempt_gate gate_;
+    Endpoint& endpoint_;
+    std::map<core::incarnation, std::shared_ptr<wire::framed_connection>> sessions_;
+    std::map<attempt_key, std::shared_ptr<token_sink>> running_;
+};
+
+template <work_endpoint Endpoint>
+core::task<void> session_host<Endpoint>::serve(std::shared_ptr<wire::framed_connection> connection,
+                                               hello h)
+{
+    using namespace core::asio::experimental::awaitable_operators;
+    const core::result<std::vector<attempt_report>> opened =
+        gate_.open(h, core::runtime_clock::now());
+    hello_ack ack{host_, own_, !opened.has_value(), {}};
+    core::log_event("entry_session")
+        .field("entry", h.host)
+        .field("entry_incarnation", h.incarnation)
+        .field("epoch", h.epoch)
+        .field("accepted", opened.has_value());
+    if (!opened) {
+        core::counter_for("sessions_stale_total").add();
+        connection->send(wire::encode(ack));
+        co_await (connection->write_loop() ||
+                  core::sleep_for(std::chrono::milliseconds(100)));
+        co_return;
+    }
+    const auto previous = sessions_.find(h.incarnation);
+    if (previous != sessions_.end()) {
+        previous->second->close();
+    }
+    sessions_[h.incarnation] = connection;
+    stop_generations(h.incarnation);
+    ack.started = opened.value();
+    connection->send(wire::encode(ack));
+    co_await (read_loop(*connection, h) || connection->write_loop() || beat_loop(*connection));
+    connection->close();
+    const auto present = sessions_.find(h.incarnation);
+    if (present != sessions_.end() && present->second == connection) {
+        sessions_.erase(present);
+        stop_generations(h.incarnation);
+    }
+    gate_.expire(core::runtime_clock::now());
+}
+
+template <work_endpoint Endpoint>
+core::task<void> session_host<Endpoint>::read_loop(wire::framed_connection& connection, hello h)
+{
+    while (!connection.closed()) {
+        const core::result<std::string> frame = co_await connection.receive();
+        if (!frame || !on_frame(connection, h, frame.value())) {
+            const std::string reason = frame ? "malformed message" : frame.error().detail;
+            core::log_event("entry_session_end")
+                .field("entry", h.host)
+                .field("epoch", h.epoch)
+                .field("reason", reason);
+            co_return;
+        }
+    }
+}
+
+template <work_endpoint Endpoint>
+core::task<void> session_host<Endpoint>::beat_loop(wire::framed_connection& connection)
+{
+    while (!connection.closed()) {
+        const core::duration silence = core::runtime_clock::now() - connection.last_received();
+        if (silence > wire::silence_limit) {
+            core::counter_for("sessions_silent_total").add();
+            co_return;
+        }
+        connection.send(wire::encode(agent_beat{endpoint_.load()}));
+        co_await core::sleep_for(wire::heartbeat_interval);
+    }
+}
+
+template <work_endpoint Endpoint>
+bool session_host<Endpoint>::on_frame(wire::framed_connection& connection, const hello& h,
+                                      const std::string& payload)
+{
+    const core::result<std::uint8_t> type = wire::message_type(payload);
+    if (!type) {
+        return false;
+    }
+    switch (type.value()) {
+    case start_work_type: {
+        core::result<start_work> m = wire::decode<start_work>(payload);
+        if (m) {
+            on_start(connection, h, std::move(m.value()));
+        }
+        return m.has_value();
+    }
+    case cancel_work_type: {
+        const core::result<cancel_work> m = wire::decode<cancel_work>(payload);
+        const auto attempt =
+            m ? running_.find(attempt_key{h.incarnation, m.value().number}) : running_.end();
+        if (attempt != running_.end()) {
+            attempt->second->cancel();
+        }
+        return m.has_value();
+    }
+    case grant_credit_type: {
+        const core::result<grant_credit> m = wire::decode<grant_credit>(payload);
+        const auto attempt =
+            m ? running_.find(attempt_key{h.incarnation, m.value().number}) : running_.end();
+        if (attempt != running_.end()) {
+            attempt->second->credit(m.value().tokens);
+        }
+        return m.has_value();
+    }
+    case entry_beat_type: {
+        const core::result<entry_beat> m = wire::decode<entry_beat>(payload);
+        if (m) {
+            gate_.settle(h.incarnation, m.value(), core::runtime_clock::now());
+        }
+        return m.has_value();
+    }
+    case resolve_type: {
+        const core::result<resolve> m = wire::decode<resolve>(payload);
+        if (m) {
+            const resolution answer = 
+                gate_.resolve_attempt(m.value(), core::runtime_clock::now());
+            core::log_event("attempt_resolved")
+                .field("entry_incarnation", m.value().attempt.entry)
+                .field("number", m.value().attempt.number)
+                .field("fate", static_cast<int>(answer.fate));
+            connection.send(wire::encode(answer));
+        }
+        return m.has_value();
+    }
+    default:
+        if (on_other) {
+            on_other(type.value(), payload);
+        }
+        return true;
+    }
+}
+
+template <work_endpoint Endpoint>
+void session_host<Endpoint>::on_start(wire::framed_connection& connection, const hello& h,
+                                      start_work work)
+{
+    const core::result<void> started = gate_.start(h.incarnation, h.epoch, work.number);
+    if (!started) {
+        core::counter_for("attempts_refused_by_gate_total").add();
+        work_end refusal;
+        refusal.number = work.number;
+        refusal.state = end_state::refused;
+        refusal.detail = started.error().detail;
+        connection.send(wire::encode(refusal));
+        return;
+    }
+    std::shared_ptr<token_sink> sink = std::make_shared<token_sink>(executor_, work);
+    const core::incarnation entry = h.incarnation;
+    sink->attach([this, entry](const token& t) { send_to(entry, wire::encode(t)); });
+    running_[attempt_key{entry, work.number}] = sink;
+    core::spawn(executor_, run_attempt(entry, std::move(work), sink));
+}
+
+template <work_endpoint Endpoint>
+core::task<void> session_host<Endpoint>::run_attempt(core::incarnation entry, start_work work,
+                                                     std::shared_ptr<token_sink> sink)
+{
+    using namespace core::asio::experimental::awaitable_operators;
+    std::variant<work_end, std::monostate> first =
+        co_await (endpoint_.run(work, *sink) || sink->cancelled());
+    work_end how;
+    how.state = end_state::cancelled;
+    if (first.index() == 0) {
+        how = std::get<0>(std::move(first));
+    }
+    how.number = work.number;
+    running_.erase(attempt_key{entry, work.number});
+    gate_.end(entry, how);
+    send_to(entry, wire::encode(how));
+}
+
+template <work_endpoint Endpoint>
+void session_host<Endpoint>::send_to(core::incarnation entry, std::string payload)
+{
+    const auto session = sessions_.find(entry);
+    if (session != sessions_.end()) {
+        session->second->send(std::move(payload));
+    }
+}
+
+template <work_endpoint Endpoint>
+void session_host<Endpoint>::stop_generations(core::incarnation entry)
+{
+    for (const std::pair<const attempt_key, std::shared_ptr<token_sink>>& attempt : running_) {
+        if (attempt.first.entry == entry) {
+            attempt.second->cancel();
+        }
+    }
+}
+
+} // namespace currantpitch::sessions
--- /dev/null
+++ b/src/sessions/sessionmessages.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "core/identifiers.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace currantpitch::sessions {
+
+/// Message types 1 to 31 belong to sessions between entries and agents.
+enum message_number : std::uint8_t {
+    hello_type = 1,
+    hello_ack_type = 2,
+    start_work_type = 3,
+    cancel_work_type = 4,
+    grant_credit_type = 5,
+    token_type = 6,
+    work_end_type = 7,
+    entry_beat_type = 8,
+    agent_beat_type = 9,
+    resolve_type = 10,
+    resolution_type = 11,
+};
+
+/// Opens a session of an entry with an agent and fences all lower epochs of the incarnation.
+struct hello {
+    static constexpr std::uint8_t type = hello_type;
+    core::host_id host;
+    core::incarnation incarnation;
+    core::epoch epoch;
+    /// Every lower attempt number is settled.
+    core::attempt_number settled_below;
+};
+template <class Archive>
+void describe(Archive& archive, hello& m)
+{
+    archive(m.host, m.incarnation, m.epoch, m.settled_below);
+}
+
+enum class work_kind { generate, call, last = call };
+
+/// Work for an endpoint. The sender's session gives incarnation and epoch.
+struct start_work {
+    static constexpr std::uint8_t type = start_work_type;
+    core::attempt_number number;
+    work_kind kind = work_kind::generate;
+    core::workspace_id workspace;
+    /// Generation: the request's JSON. Call: the body as received.
+    std::string body;
+    /// Call only.
+    std::string method;
+    std::string path;
+    /// Generation only: tokens that the caller already has.
+    std::uint64_t resume_from = 0;
+    /// Generation only: tokens that may be sent without further credit.
+    std::uint64_t window = 0;
+    /// Time left until the request's deadline.
+    std::chrono::milliseconds time_left{};
+    /// Refuse rather than run beside another isolated request.
+    bool isolated = false;
+};
+template <class Archive>
+void describe(Archive& archive, start_work& m)
+{
+    archive(m.number, m.kind, m.workspace, m.body, m.method, m.path, m.resume_from, m.window,
+            m.time_left, m.isolated);
+}
+
+/// The caller no longer wants the answer. A call that has started is not stopped.
+struct cancel_work {
+    static constexpr std::uint8_t type = cancel_work_type;
+    core::attempt_number number;
+};
+template <class Archive>
+void describe(Archive& archive, cancel_work& m)
+{
+    archive(m.number);
+}
+
+/// Lets the agent send so many further tokens.
+struct grant_credit {
+    static constexpr std::uint8_t type = grant_credit_type;
+    core::attempt_number number;
+    std::uint64_t tokens = 0;
+};
+template <class Archive>
+void describe(Archive& archive, grant_credit& m)
+{
+    archive(m.number, m.tokens);
+}
+
+/// One token of an answer; offset counts from the start of the answer.
+struct token {
+    static constexpr std::uint8_t type = token_type;
+    core::attempt_number number;
+    std::uint64_t offset = 0;
+    std::string text;
+};
+template <class Archive>
+void describe(Archive& archive, token& m)
+{
+    archive(m.number, m.offset, m.text);
+}
+
+enum class end_state {
+    finished, ///< ran to its end; the answer is whole
+    refused,  ///< never started and never will
+    failed,   ///< may have run; its outcome is not known
+    crashed,  ///< the endpoint died while running it
+    cancelled, ///< stopped on request or by a newer epoch
+    last = cancelled,
+};
+
+/// How an attempt ended.
+struct work_end {
+    static constexpr std::uint8_t type = work_end_type;
+    core::attempt_number number;
+    end_state state = end_state::failed;
+    std::string detail;
+    /// Call: the endpoint's answer.
+    std::uint32_t status = 0;
+    std::string content_type;
+    std::string body;
+    /// Generation: tokens of the whole answer and their checksum.
+    std::uint64_t count = 0;
+    std::uint64_t checksum = 0;
+    /// Life of the endpoint that ran the work.
+    core::incarnation endpoint_incarnation;
+    /// Refusals only: time after which another try may fit.
+    std::chrono::milliseconds retry_after{};
+};
+template <class Archive>
+void describe(Archive& archive, work_end& m)
+{
+    archive(m.number, m.state, m.detail, m.status, m.content_type, m.body, m.count, m.checksum,
+            m.endpoint_incarnation, m.retry_after);
+}
+
+/// What an agent knows of a started attempt: running without an end.
+struct attempt_report {
+    core::attempt_number number;
+    std::optional<work_end> end;
+};
+template <class Archive>
+void describe(Archive& archive, attempt_report& m)
+{
+    archive(m.number, m.end);
+}
+
+/// Answers hello. All attempts of lower epochs that ever started and are not settled are listed.
+struct hello_ack {
+    static constexpr std::uint8_t type = hello_ack_type;
+    core::host_id host;
+    core::incarnation incarnation;
+    /// The epoch was not above the highest known one; the session is refused.
+    bool stale = false;
+    std::vector<attempt_report> started;
+};
+template <class Archive>
+void describe(Archive& archive, hello_ack& m)
+{
+    archive(m.host, m.incarnation, m.stale, m.started);
+}
+
+/// Regular message of an entry.
+struct entry_beat {
+    static constexpr std::uint8_t type = entry_beat_type;
+    core::attempt_number settled_below;
+    /// Settled numbers above settled_below since the last beat.
+    std::vector<core::attempt_number> settled;
+};
+template <class Archive>
+void describe(Archive& archive, entry_beat& m)
+{
+    archive(m.settled_below, m.settled);
+}
+
+/// Load of the agent's endpoint.
+struct load_report {
+    std::uint32_t running = 0;
+    std::uint32_t concurrency = 0;
+    /// Age of the endpoint's own figures when the report was sent.
+    std::chrono::milliseconds age{};
+    core::incarnation endpoint_incarnation;
+    bool healthy = false;
+    bool leaving = false;
+    /// Highest configuration version that the agent holds.
+    core::revision configuration;
+};
+template <class Archive>
+void describe(Archive& archive, load_report& m)
+{
+    archive(m.running, m.concurrency, m.age, m.endpoint_incarnation, m.healthy, m.leaving,
+            m.configuration);
+}
+
+/// Regular message of an agent.
+struct agent_beat {
+    static constexpr std::uint8_t type = agent_beat_type;
+    load_report load;
+};
+template <class Archive>
+void describe(Archive& archive, agent_beat& m)
+{
+    archive(m.load);
+}
+
+/// Names one attempt among all entries and agents.
+struct attempt_identity {
+    core::incarnation entry;
+    core::incarnation agent;
+    core::epoch epoch;
+    core::attempt_number number;
+
+    friend bool operator==(const attempt_identity&, const attempt_identity&) = default;
+};
+template <class Archive>
+void describe(Archive& archive, attempt_identity& m)
+{
+    archive(m.entry, m.agent, m.epoch, m.number);
+}
+
+/// Asks what became of an attempt of any entry, and keeps it from starting later.
+struct resolve {
+    static constexpr std::uint8_t type = resolve_type;
+    std::uint64_t query = 0;
+    attempt_identity attempt;
+};
+template <class Archive>
+void describe(Archive& archive, resolve& m)
+{
+    archive(m.query, m.attempt);
+}
+
+enum class attempt_fate {
+    never_started, ///< and never will
+    running,
+    ended,
+    not_known, ///< the agent has another incarnation or no longer remembers
+    last = not_known,
+};
+
+/// Answers resolve.
+struct resolution {
+    static constexpr std::uint8_t type = resolution_type;
+    std::uint64_t query = 0;
+    attempt_fate fate = attempt_fate::not_known;
+    std::optional<work_end> end;
+};
+template <class Archive>
+void describe(Archive& archive, resolution& m)
+{
+    archive(m.query, m.fate, m.end);
+}
+
+} // namespace currantpitch::sessions
