Add dissemination: relays watch, peers pass changes on, hashes show a missed change

Cause: a watch for each process does not grow with the fleet, and a watch can be silent or skip a change. Change: two relays a failure domain hold the watches; statuses carry revision and content hash; a process that is behind a peer is not ready. Found by the model test: a replica that learned of a deletion only by its absence from a listing passed on 'complete' without the deletion, so a peer kept a deleted object. A listing now counts as forgetting what was deleted before it, and peers behind it get a full set.

--- /dev/null
+++ b/src/intents/configurationfeed.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/counters.h"
+#include "core/eventlog.h"
+#include "intents/disseminator.h"
+#include "intents/intentsconstants.h"
+#include "intents/specs.h"
+#include "platform/platformconstants.h"
+
+#include <functional>
+#include <random>
+
+namespace currantpitch::intents {
+
+/// Reads the configuration from the platform: one listing at the start, then a watch for as long as
+/// this process has to watch. A silent, closed or gapped watch is replaced.
+template <platform::platform_client Platform>
+class configuration_feed {
+public:
+    configuration_feed(Platform& store, disseminator& decisions, std::uint64_t seed)
+        : store_(store), decisions_(decisions), random_(seed)
+    {
+    }
+
+    /// Whether this process has to watch; asked before each step.
+    std::function<bool()> must_watch;
+    /// Called after the decisions have taken something in.
+    std::function<void(std::vector<sync_outgoing>)> on_news;
+
+    core::task<void> run();
+
+private:
+    core::task<void> pause();
+    core::task<void> list();
+    core::task<void> watch();
+
+    Platform& store_;
+    disseminator& decisions_;
+    std::mt19937_64 random_;
+};
+
+template <platform::platform_client Platform>
+core::task<void> configuration_feed<Platform>::run()
+{
+    co_await list();
+    while (true) {
+        if (!decisions_.has_content() || decisions_.wants_listing()) {
+            co_await list();
+        }
+        if (must_watch()) {
+            co_await watch();
+        }
+        co_await pause();
+    }
+}
+
+template <platform::platform_client Platform>
+core::task<void> configuration_feed<Platform>::pause()
+{
+    std::uniform_int_distribution<std::int64_t> jitter(watch_retry_delay.count() / 2,
+                                                       watch_retry_delay.count());
+    co_await core::sleep_for(std::chrono::milliseconds(jitter(random_)));
+}
+
+template <platform::platform_client Platform>
+core::task<void> configuration_feed<Platform>::list()
+{
+    const platform::call_context call{"configuration_list",
+                                      core::runtime_clock::now() + platform::call_timeout};
+    const std::vector<std::string> kinds = all_kind_names();
+    const core::result<platform::listing> l = co_await store_.list(kinds, call);
+    if (!l) {
+        core::log_event("configuration_list_failed", core::log_event::level::warning)
+            .field("error", core::to_string(l.error().code))
+            .field("reason", l.error().detail);
+        co_return;
+    }
+    on_news(decisions_.on_listing(l.value(), core::runtime_clock::now()));
+}
+
+template <platform::platform_client Platform>
+core::task<void> configuration_feed<Platform>::watch()
+{
+    const platform::call_context call{"configuration_watch",
+                                      core::runtime_clock::now() + platform::call_timeout};
+    const std::vector<std::string> kinds = all_kind_names();
+    core::result<typename Platform::watch_type> opened =
+        co_await store_.watch(kinds, decisions_.complete(), call);
+    if (!opened && opened.error().code == core::errc::stale) {
+        co_await list();
+    }
+    while (opened && must_watch() && !decisions_.wants_listing()) {
+        const core::time_point deadline =
+            core::runtime_clock::now() + platform::watch_silence_limit;
+        const core::result<platform::watch_event> event = co_await opened.value().next(deadline);
+        if (!event) {
+            core::counter_for("configuration_watch_ends_total").add();
+            core::log_event("configuration_watch_end")
+                .field("error", core::to_string(event.error().code))
+                .field("complete", decisions_.complete());
+            // After silence the watch may have skipped changes that a listing shows.
+            if (event.error().code == core::errc::timeout) {
+                co_await list();
+            }
+            co_return;
+        }
+        on_news(decisions_.on_watch_event(event.value(), core::runtime_clock::now()));
+    }
+}
+
+} // namespace currantpitch::intents
--- a/src/intents/intentsconstants.h
+++ b/src/intents/intentsconstants.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -12,6 +13,17 @@
 /// Deleted objects that a process remembers to tell its peers; older ones cost a full snapshot.
 inline constexpr std::size_t max_tombstones = 4096;
 
+/// Time after which changes that a peer has not confirmed are sent again.
+inline constexpr std::chrono::milliseconds resend_interval{600};
+/// Interval of the statuses between peers.
+inline constexpr std::chrono::milliseconds status_interval{500};
+/// Relays in each failure domain, which watch the platform for the others.
+inline constexpr std::size_t relays_per_failure_domain = 2;
+/// Time without any relay after which a process watches the platform itself.
+inline constexpr std::chrono::milliseconds relay_patience{1500};
+/// Delay before a failed watch or listing is tried again, without jitter.
+inline constexpr std::chrono::milliseconds watch_retry_delay{400};
+
 /// Bounds of numbers in the specs.
 inline constexpr std::int64_t max_ranks = 1024;
 inline constexpr std::int64_t max_experts = 4096;
--- a/src/intents/replica.cpp
+++ b/src/intents/replica.cpp
@@ -89,6 +89,10 @@
             applied.push_back(gone);
         }
     }
+    if (changes.full && changes.to > complete_) {
+        // The set does not name what was deleted before it was drawn up.
+        forgotten_ = std::max(forgotten_, changes.to);
+    }
     if (changes.full || changes.from <= complete_) {
         mark_complete(changes.to);
     }
--- /dev/null
+++ b/src/intents/syncmessages.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "intents/replica.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace currantpitch::platform {
+
+template <class Archive>
+void describe(Archive& archive, object_key& m)
+{
+    archive(m.kind, m.name);
+}
+template <class Archive>
+void describe(Archive& archive, object& m)
+{
+    archive(m.key, m.version, m.body, m.deleted);
+}
+
+} // namespace currantpitch::platform
+
+namespace currantpitch::intents {
+
+/// Message types 32 to 47 belong to the dissemination of configuration.
+enum message_number : std::uint8_t {
+    sync_status_type = 32,
+    sync_changes_type = 33,
+    agent_configuration_type = 34,
+};
+
+/// What a process holds.
+struct sync_status {
+    static constexpr std::uint8_t type = sync_status_type;
+    core::revision complete;
+    core::revision newest;
+    std::uint64_t content_hash = 0;
+};
+template <class Archive>
+void describe(Archive& archive, sync_status& m)
+{
+    archive(m.complete, m.newest, m.content_hash);
+}
+
+/// Changes for a peer.
+struct sync_changes {
+    static constexpr std::uint8_t type = sync_changes_type;
+    core::revision from;
+    core::revision to;
+    bool full = false;
+    std::vector<platform::object> objects;
+};
+template <class Archive>
+void describe(Archive& archive, sync_changes& m)
+{
+    archive(m.from, m.to, m.full, m.objects);
+}
+
+/// Objects that an agent needs: its endpoint, the endpoint's group and the group's members. Each
+/// takes effect when it is newer than what the agent holds.
+struct agent_configuration {
+    static constexpr std::uint8_t type = agent_configuration_type;
+    core::revision complete;
+    std::vector<platform::object> objects;
+};
+template <class Archive>
+void describe(Archive& archive, agent_configuration& m)
+{
+    archive(m.complete, m.objects);
+}
+
+} // namespace currantpitch::intents
--- /dev/null
+++ b/src/intents/tests/tst_dissemination.cpp
@@ -0,0 +1,400 @@
+#include "fakes/memoryplatform.h"
+#include "intents/configurationfeed.h"
+#include "intents/disseminator.h"
+#include "intents/synctopology.h"
+
+#include "support/modelrun.h"
+#include "support/pausedrun.h"
+#include "support/rapidcheck.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace currantpitch::intents;
+using namespace std::chrono_literals;
+
+namespace {
+
+sync_member member(std::size_t i, std::size_t domains)
+{
+    return {core::host_id("h" + std::to_string(i)),
+            core::failure_domain_id("fd" + std::to_string(i % domains))};
+}
+
+std::vector<sync_member> members_of(std::size_t count, std::size_t domains = 3)
+{
+    std::vector<sync_member> members;
+    for (std::size_t i = 0; i < count; ++i) {
+        members.push_back(member(i, domains));
+    }
+    return members;
+}
+
+// Processes that disseminate over links which delay, lose and repeat messages, each link being a
+// connection that delivers in order while it lasts. The store is a plain list of changes.
+class sync_world {
+public:
+    sync_world(std::size_t count, std::uint64_t seed) : members_(members_of(count)), random_(seed)
+    {
+        processes_.resize(count);
+        for (std::size_t i = 0; i < count; ++i) {
+            for (const core::host_id& peer : peers_to_dial(members_[i], members_)) {
+                links_[{i, index_of(peer)}] = true;
+            }
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            boot(i);
+        }
+    }
+
+    std::size_t size() const { return processes_.size(); }
+    bool relay(std::size_t i) const
+    {
+        return relays_of(members_).contains(members_[i].host);
+    }
+
+    void accept(const std::string& name, bool deleted)
+    {
+        const core::revision version{store_.size() + 1};
+        store_.push_back({{"Workspace", name}, version, deleted ? "" : "{}", deleted});
+    }
+
+    void boot(std::size_t i)
+    {
+        processes_[i] = std::make_unique<disseminator>();
+        watch_position_[i] = 0;
+        held_[i].clear();
+        for (const std::pair<const std::pair<std::size_t, std::size_t>, bool>& link : links_) {
+            if (link.first.first == i || link.first.second == i) {
+                reconnect(link.first.first, link.first.second);
+            }
+        }
+    }
+
+    // One relay reads one watch event; others get theirs from peers.
+    void read_watch(std::size_t i)
+    {
+        if (!relay(i) || platform_away || watch_silent.contains(i)) {
+            return;
+        }
+        if (processes_[i]->complete() == core::revision{} || processes_[i]->wants_listing()) {
+            list(i);
+            return;
+        }
+        const std::uint64_t next = std::max<std::uint64_t>(watch_position_[i],
+                                                           processes_[i]->complete().value);
+        if (next < store_.size()) {
+            watch_position_[i] = next + 1;
+            const platform::object& o = store_[next];
+            send(i, processes_[i]->on_watch_event({o, o.version}, now));
+            check(i);
+        }
+    }
+    void list(std::size_t i)
+    {
+        std::map<platform::object_key, platform::object> present;
+        for (const platform::object& o : store_) {
+            present[o.key] = o;
+        }
+        platform::listing l{core::revision{store_.size()}, {}};
+        for (const std::pair<const platform::object_key, platform::object>& entry : present) {
+            if (!entry.second.deleted) {
+                l.objects.push_back(entry.second);
+            }
+        }
+        send(i, processes_[i]->on_listing(l, now));
+        check(i);
+    }
+    void send_statuses(std::size_t i) { send(i, processes_[i]->statuses()); }
+
+    // Delivers the first message of a random link.
+    void deliver(std::size_t choice, double loss)
+    {
+        if (queues_.empty()) {
+            return;
+        }
+        auto queue = queues_.begin();
+        std::advance(queue, static_cast<std::ptrdiff_t>(choice % queues_.size()));
+        const std::size_t from = queue->first.first;
+        const std::size_t to = queue->first.second;
+        const sync_outgoing message = std::move(queue->second.front());
+        queue->second.pop_front();
+        if (queue->second.empty()) {
+            queues_.erase(queue);
+        }
+        // A connection that loses a message is dead: it is replaced and both ends start over.
+        if (std::uniform_real_distribution<double>(0, 1)(random_) < loss) {
+            reconnect(from, to);
+            return;
+        }
+        const core::host_id sender = members_[from].host;
+        if (const sync_status* status = std::get_if<sync_status>(&message.message)) {
+            send(to, processes_[to]->on_status(sender, *status, now));
+        }
+        else {
+            send(to, processes_[to]->on_changes(sender, std::get<sync_changes>(message.message),
+                                                now));
+        }
+        check(to);
+    }
+    std::size_t in_flight() const { return queues_.size(); }
+
+    bool converged() const
+    {
+        for (const std::unique_ptr<disseminator>& p : processes_) {
+            if (p->complete() != core::revision{store_.size()}) {
+                return false;
+            }
+        }
+        return true;
+    }
+    // What each process holds equals what the store's history says at its complete revision.
+    void check_contents() const
+    {
+        for (const std::unique_ptr<disseminator>& p : processes_) {
+            std::map<platform::object_key, platform::object> expected;
+            for (const platform::object& o : store_) {
+                if (o.version <= p->complete()) {
+                    expected[o.key] = o;
+                }
+            }
+            for (const std::pair<const platform::object_key, platform::object>& e : expected) {
+                const platform::object* const held = p->held().find(e.first);
+                const bool newer = held != nullptr && held->version > e.second.version;
+                const bool same = e.second.deleted ? held == nullptr
+                                                   : held != nullptr &&
+                                                         held->version == e.second.version;
+                // An object newer than the complete revision may have arrived already.
+                const auto raw = p->held().objects().find(e.first);
+                const bool newer_deletion = raw != p->held().objects().end() &&
+                                            raw->second.version > e.second.version;
+                RC_ASSERT((newer || same || newer_deletion));
+            }
+        }
+    }
+
+    core::time_point now{1h};
+    bool platform_away = false;
+    std::set<std::size_t> watch_silent;
+
+private:
+    std::size_t index_of(const core::host_id& host) const
+    {
+        return static_cast<std::size_t>(std::stoul(host.str().substr(1)));
+    }
+    void reconnect(std::size_t a, std::size_t b)
+    {
+        queues_.erase({a, b});
+        queues_.erase({b, a});
+        if (!processes_[a] || !processes_[b]) {
+            return;
+        }
+        processes_[a]->on_peer_down(members_[b].host);
+        processes_[b]->on_peer_down(members_[a].host);
+        send(a, processes_[a]->on_peer_up(members_[b].host));
+        send(b, processes_[b]->on_peer_up(members_[a].host));
+    }
+    void send(std::size_t from, std::vector<sync_outgoing> messages)
+    {
+        for (sync_outgoing& m : messages) {
+            const std::size_t to = index_of(m.peer);
+            queues_[{from, to}].push_back(std::move(m));
+        }
+    }
+    // Versions of each process never go back.
+    void check(std::size_t i)
+    {
+        for (const platform::object& o : processes_[i]->take_applied()) {
+            core::revision& highest = held_[i][o.key];
+            RC_ASSERT(o.version > highest);
+            highest = o.version;
+        }
+    }
+
+    std::vector<sync_member> members_;
+    std::mt19937_64 random_;
+    std::vector<platform::object> store_;
+    std::vector<std::unique_ptr<disseminator>> processes_;
+    std::map<std::pair<std::size_t, std::size_t>, bool> links_;
+    std::map<std::pair<std::size_t, std::size_t>, std::deque<sync_outgoing>> queues_;
+    std::map<std::size_t, std::uint64_t> watch_position_;
+    std::map<std::size_t, std::map<platform::object_key, core::revision>> held_;
+};
+
+void run_world(testing::script& s)
+{
+    sync_world world(6, 7);
+    while (!s.done()) {
+        s.next_command();
+        const std::size_t process = s.choose(world.size());
+        switch (s.choose(10)) {
+        case 0:
+        case 1:
+            world.accept(std::string(1, static_cast<char>('a' + s.choose(5))), s.choose(3) == 0);
+            break;
+        case 2:
+        case 3:
+            world.read_watch(process);
+            break;
+        case 4:
+        case 5:
+        case 6:
+            world.deliver(s.choose(1000), s.choose(10) == 0 ? 1.0 : 0.0);
+            break;
+        case 7:
+            world.send_statuses(process);
+            world.now += 100ms * s.choose(10);
+            break;
+        case 8:
+            world.platform_away = s.choose(2) == 0;
+            if (s.choose(2) == 0) {
+                world.watch_silent.insert(process);
+            }
+            else {
+                world.watch_silent.erase(process);
+            }
+            break;
+        default:
+            if (s.choose(4) == 0) {
+                world.boot(process);
+            }
+            break;
+        }
+    }
+    world.check_contents();
+    // Once the faults end, every process gets everything.
+    world.platform_away = false;
+    world.watch_silent.clear();
+    for (int round = 0; round < 60 && !(world.converged() && world.in_flight() == 0); ++round) {
+        world.now += status_interval;
+        for (std::size_t i = 0; i < world.size(); ++i) {
+            world.read_watch(i);
+            world.send_statuses(i);
+        }
+        for (int i = 0; i < 2000 && world.in_flight() > 0; ++i) {
+            world.deliver(static_cast<std::size_t>(i), 0);
+        }
+    }
+    RC_ASSERT(world.converged());
+    world.check_contents();
+}
+
+} // namespace
+
+TEST_GROUP(dissemination){};
+
+TEST(dissemination, versions_never_go_back_and_everything_arrives)
+{
+    CHECK_TRUE(testing::check_model("dissemination", run_world));
+}
+
+TEST(dissemination, each_process_reaches_a_relay_and_relays_reach_each_other)
+{
+    for (const std::size_t count : {1U, 2U, 3U, 7U, 9U, 64U}) {
+        const std::vector<sync_member> members = members_of(count);
+        const std::set<core::host_id> relays = relays_of(members);
+        CHECK(relays.size() <= 3 * relays_per_failure_domain);
+        for (const sync_member& m : members) {
+            const bool has_peer = !peers_to_dial(m, members).empty();
+            CHECK(has_peer || relays.contains(m.host));
+        }
+    }
+}
+
+TEST(dissemination, process_is_not_ready_while_a_peer_holds_more)
+{
+    disseminator fresh;
+    CHECK(!fresh.ready());
+    const core::host_id peer("p");
+    fresh.on_peer_up(peer);
+    fresh.on_listing({core::revision{3}, {}}, {});
+    CHECK(fresh.ready());
+    fresh.on_status(peer, {core::revision{5}, core::revision{5}, 0}, {});
+    CHECK(!fresh.ready());
+    fresh.on_changes(peer, {core::revision{3}, core::revision{5}, false, {}}, {});
+    CHECK(fresh.ready());
+}
+
+TEST(dissemination, peer_supplies_the_configuration_while_the_platform_is_away)
+{
+    disseminator old;
+    old.on_listing({core::revision{9}, {{{"Workspace", "w"}, core::revision{4}, "{}", false}}},
+                   {});
+    disseminator fresh;
+    const core::host_id a("a");
+    const core::host_id b("b");
+    old.on_peer_up(b);
+    const std::vector<sync_outgoing> hello = fresh.on_peer_up(a);
+    const std::vector<sync_outgoing> answer =
+        old.on_status(b, std::get<sync_status>(hello.at(0).message), {});
+    fresh.on_changes(a, std::get<sync_changes>(answer.at(0).message), {});
+    CHECK(fresh.ready());
+    CHECK(fresh.held().find({"Workspace", "w"}) != nullptr);
+}
+
+TEST(dissemination, missed_change_makes_the_process_list_again)
+{
+    disseminator p;
+    const core::host_id peer("p");
+    p.on_peer_up(peer);
+    p.on_listing({core::revision{3}, {}}, {});
+    p.on_status(peer, {core::revision{3}, core::revision{3}, 77}, {});
+    CHECK(p.wants_listing());
+    p.on_listing({core::revision{3}, {{{"Workspace", "w"}, core::revision{2}, "{}", false}}}, {});
+    CHECK(!p.wants_listing());
+    CHECK(p.held().find({"Workspace", "w"}) != nullptr);
+}
+
+TEST_GROUP(feeds) {
+    testing::paused_run run;
+    fakes::memory_platform store{run.executor()};
+    disseminator decisions;
+    configuration_feed<fakes::memory_platform> feed{store, decisions, 1};
+
+    void setup() override
+    {
+        feed.must_watch = [] { return true; };
+        feed.on_news = [](std::vector<sync_outgoing>) {};
+        run.spawn(feed.run());
+        run.advance(1s);
+    }
+    void accept(const std::string& name)
+    {
+        run.spawn([](fakes::memory_platform& s, std::string n) -> core::task<void> {
+            const platform::object_key key{"Workspace", n};
+            const platform::call_context call{"test", core::runtime_clock::now() + 1s};
+            co_await s.put(key, "{}", {}, call);
+        }(store, name));
+    }
+    bool holds(const std::string& name)
+    {
+        return decisions.held().find({"Workspace", name}) != nullptr;
+    }
+};
+
+TEST(feeds, silent_watch_is_replaced_and_nothing_is_missed)
+{
+    store.faults.watches_silent = true;
+    accept("a");
+    run.advance(1s);
+    CHECK(!holds("a"));
+    run.advance(2s);
+    CHECK(holds("a"));
+}
+
+TEST(feeds, outage_ends_and_the_feed_goes_on)
+{
+    store.faults.away = true;
+    run.advance(10s);
+    store.faults.away = false;
+    accept("a");
+    run.advance(3s);
+    CHECK(holds("a"));
+}
+
+TEST(feeds, one_watch_costs_one_call_while_nothing_fails)
+{
+    run.advance(60s);
+    LONGS_EQUAL(1, store.calls["configuration_watch"]);
+    LONGS_EQUAL(1, store.calls["configuration_list"]);
+}
--- a/src/intents/tests/tst_replica.cpp
+++ b/src/intents/tests/tst_replica.cpp
@@ -125,6 +125,17 @@
     CHECK(good.content_hash() == gapped.content_hash());
 }
 
+TEST(replicas, deletion_before_a_listing_is_passed_on_by_a_full_set)
+{
+    replica listed;
+    listed.apply(change_set{{}, core::revision{3}, true, {}});
+    replica behind;
+    behind.apply(change_set{{}, core::revision{2}, true, {version_of("a", 1)}});
+    behind.apply(listed.changes_since(behind.complete()));
+    CHECK(behind.complete() == core::revision{3});
+    CHECK(behind.find({"Workspace", "a"}) == nullptr);
+}
+
 TEST(replicas, forgotten_deletions_cost_a_full_snapshot)
 {
     replica r;
