--- /dev/null
+++ b/tests/fakes/plainservice.cpp
@@ -0,0 +1,44 @@
+#include "fakes/plainservice.h"
+
+#include "core/timer.h"
+
+#include <boost/json.hpp>
+
+namespace currantpitch::fakes {
+
+core::task<void> plain_service::operator()(http::server_connection& connection,
+                                           const http::request& received)
+{
+    http::response answer;
+    if (received.path() == "/status") {
+        answer.body = "{\"incarnation\":\"1\",\"running\":0}";
+        co_await connection.reply(std::move(answer));
+        co_return;
+    }
+    if (received.path() == "/runs") {
+        boost::json::object counts;
+        for (const std::pair<const std::string, int>& entry : runs) {
+            counts[entry.first] = entry.second;
+        }
+        answer.body = boost::json::serialize(counts);
+        co_await connection.reply(std::move(answer));
+        co_return;
+    }
+    if (delay > core::duration::zero()) {
+        co_await core::sleep_for(delay);
+    }
+    int times = 0;
+    if (received.method == "POST") {
+        times = ++runs[received.body];
+    }
+    if (lose_answers > 0) {
+        --lose_answers;
+        connection.close();
+        co_return;
+    }
+    const boost::json::object body{{"path", received.path()}, {"runs", times}};
+    answer.body = boost::json::serialize(body);
+    co_await connection.reply(std::move(answer));
+}
+
+} // namespace currantpitch::fakes
