--- /dev/null
+++ b/src/actions/ledgerowner.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "actions/actionsconstants.h"
+#include "actions/internal/shardcodec.h"
+#include "actions/ledger.h"
+#include "core/counters.h"
+#include "core/eventlog.h"
+#include "core/notifier.h"
+#include "platform/platformclient.h"
+#include "platform/platformconstants.h"
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace currantpitch::actions {
+
+/// Kind of the ledger's objects in the store.
+inline constexpr std::string_view shard_kind = "LedgerShard";
+
+/// Commits operations on one shard in groups, each group by one conditional write. Several owners
+/// of one shard at once are safe: the conditional write decides, and the loser reads again.
+template <platform::platform_client Platform>
+class ledger_owner {
+public:
+    ledger_owner(Platform& store, const core::asio::any_io_executor& executor, unsigned shard,
+                 std::uint64_t seed)
+        : store_(store), executor_(executor), key_{std::string(shard_kind), std::to_string(shard)},
+          random_(seed)
+    {
+    }
+
+    core::task<core::result<ledger_answer>> carry_out(ledger_operation operation,
+                                                      core::time_point deadline);
+
+private:
+    struct waiting_operation {
+        ledger_operation operation;
+        core::notifier done;
+        std::optional<core::result<ledger_answer>> answer;
+
+        waiting_operation(const core::asio::any_io_executor& e, ledger_operation o)
+            : operation(std::move(o)), done(e)
+        {
+        }
+    };
+    using group = std::vector<std::shared_ptr<waiting_operation>>;
+
+    platform::call_context call(std::string_view cause) const
+    {
+        return {cause, core::runtime_clock::now() + platform::call_timeout};
+    }
+    core::task<void> commit_loop();
+    core::task<void> commit(group members);
+    core::task<core::result<void>> load();
+    core::task<core::result<void>> write(std::string commit_name);
+    void answer_all(const group& members, const core::result<ledger_answer>& answer);
+
+    Platform& store_;
+    core::asio::any_io_executor executor_;
+    platform::object_key key_;
+    std::mt19937_64 random_;
+    shard_state state_;
+    core::revision version_;
+    bool loaded_ = false;
+    bool committing_ = false;
+    core::time_point next_commit_;
+    group waiting_;
+};
+
+template <platform::platform_client Platform>
+core::task<core::result<ledger_answer>>
+ledger_owner<Platform>::carry_out(ledger_operation operation, core::time_point deadline)
+{
+    const std::shared_ptr<waiting_operation> mine =
+        std::make_shared<waiting_operation>(executor_, std::move(operation));
+    waiting_.push_back(mine);
+    if (!committing_) {
+        committing_ = true;
+        core::spawn(executor_, commit_loop());
+    }
+    while (!mine->answer && core::runtime_clock::now() < deadline) {
+        co_await mine->done.wait_until(deadline);
+    }
+    if (!mine->answer) {
+        const auto still = std::find(waiting_.begin(), waiting_.end(), mine);
+        if (still != waiting_.end()) {
+            waiting_.erase(still);
+            co_return core::error{core::errc::unavailable, "the ledger is busy"};
+        }
+        co_return core::error{core::errc::timeout, "the commit has not ended"};
+    }
+    co_return *mine->answer;
+}
+
+template <platform::platform_client Platform>
+core::task<void> ledger_owner<Platform>::commit_loop()
+{
+    while (!waiting_.empty()) {
+        core::timer pace(executor_);
+        if (core::runtime_clock::now() < next_commit_) {
+            co_await pace.wait_until(next_commit_);
+        }
+        next_commit_ = core::runtime_clock::now() + commit_interval;
+        group members = std::exchange(waiting_, {});
+        co_await commit(std::move(members));
+    }
+    committing_ = false;
+}
+
+template <platform::platform_client Platform>
+core::task<void> ledger_owner<Platform>::commit(group members)
+{
+    core::error last{core::errc::unavailable, "the platform is away"};
+    bool effect_open = false;
+    for (int tries = 0; tries < max_commit_tries; ++tries) {
+        if (tries > 0) {
+            co_await core::sleep_for(commit_retry_delay);
+        }
+        if (!loaded_) {
+            const core::result<void> read = co_await load();
+            if (!read) {
+                last = read.error();
+                continue;
+            }
+        }
+        // The write holds all that the operations do to the state just read or last written.
+        const std::uint64_t before = state_.changes();
+        std::vector<ledger_answer> answers;
+        for (const std::shared_ptr<waiting_operation>& member : members) {
+            answers.push_back(state_.apply(member->operation, core::runtime_clock::wall_now()));
+        }
+        core::result<void> written = core::ok();
+        if (state_.changes() != before) {
+            written = co_await write(std::to_string(random_()));
+        }
+        if (written) {
+            core::counter_for("ledger_commits_total").add();
+            core::counter_for("ledger_operations_total").add(members.size());
+            for (std::size_t i = 0; i < members.size(); ++i) {
+                members[i]->answer = core::result<ledger_answer>(answers[i]);
+                members[i]->done.notify();
+            }
+            co_return;
+        }
+        last = written.error();
+        // Read again before the next try: another owner wrote, or our own write took effect.
+        loaded_ = false;
+        effect_open = effect_open || platform::effect_unknown(last);
+    }
+    core::log_event("ledger_commit_failed", core::log_event::level::warning)
+        .field("shard", key_.name)
+        .field("operations", members.size())
+        .field("error", core::to_string(last.code));
+    const core::errc code = effect_open ? core::errc::timeout : core::errc::unavailable;
+    answer_all(members, core::error{code, last.detail});
+}
+
+template <platform::platform_client Platform>
+core::task<core::result<void>> ledger_owner<Platform>::load()
+{
+    const core::result<platform::object> found = co_await store_.get(key_, call("ledger_read"));
+    if (!found && found.error().code == core::errc::not_found) {
+        state_ = shard_state();
+        version_ = core::revision{};
+        loaded_ = true;
+        co_return core::ok();
+    }
+    if (!found) {
+        co_return found.error();
+    }
+    core::result<decoded_shard> shard = decode_shard(found.value().body);
+    if (!shard) {
+        co_return shard.error();
+    }
+    state_ = std::move(shard.value().state);
+    version_ = found.value().version;
+    loaded_ = true;
+    co_return core::ok();
+}
+
+template <platform::platform_client Platform>
+core::task<core::result<void>> ledger_owner<Platform>::write(std::string commit_name)
+{
+    const core::result<platform::object> written = co_await store_.put(
+        key_, encode_shard(state_, commit_name), version_, call("ledger_write"));
+    if (!written) {
+        co_return written.error();
+    }
+    version_ = written.value().version;
+    co_return core::ok();
+}
+
+template <platform::platform_client Platform>
+void ledger_owner<Platform>::answer_all(const group& members,
+                                        const core::result<ledger_answer>& answer)
+{
+    for (const std::shared_ptr<waiting_operation>& member : members) {
+        member->answer = answer;
+        member->done.notify();
+    }
+}
+
+} // namespace currantpitch::actions
