Add expert maps: planner, two-phase switch, group coordinator in the agents

Cause: one overloaded rank holds back its whole group, and two ranks on different maps in one step are wrong answers. Change: a planner that weighs step time saved against moves; a switch that every rank must accept before any may be told of it; leadership claimed by one conditional write.

--- a/src/agent/agentnode.h
+++ b/src/agent/agentnode.h
@@ -2,6 +2,7 @@
 
 #include "agent/agentconfiguration.h"
 #include "agent/agentconstants.h"
+#include "agent/grouprole.h"
 #include "core/counters.h"
 #include "core/eventlog.h"
 #include "endpoints/guardedendpoint.h"
@@ -24,9 +25,13 @@
         : executor_(executor), settings_(std::move(settings)), incarnation_{seed},
           store_(executor, settings_.platform_address),
           backend_(executor, settings_.endpoint_address), endpoint_(backend_, gate_),
-          host_(executor, settings_.host, incarnation_, endpoint_), listener_(executor),
+          host_(executor, settings_.host, incarnation_, endpoint_),
+          group_(executor, store_, backend_, settings_.host, incarnation_), listener_(executor),
           stop_(executor)
     {
+        endpoint_.on_status = [this](const endpoints::endpoint_status& status) {
+            group_.on_status(status);
+        };
         host_.on_other = [this](std::uint8_t type, const std::string& payload) {
             on_message(type, payload);
         };
@@ -55,10 +60,12 @@
     Backend backend_;
     endpoints::guarded_endpoint<Backend> endpoint_;
     sessions::session_host<endpoints::guarded_endpoint<Backend>> host_;
+    group_role<Backend> group_;
     agent_configuration_store configuration_;
     core::asio::ip::tcp::acceptor listener_;
     core::notifier stop_;
     bool stopping_ = false;
+    bool desired_leaving_ = false;
 };
 
 template <endpoints::endpoint_backend Backend>
@@ -95,6 +102,7 @@
     core::spawn(executor_, endpoint_.poll());
     core::spawn(executor_, accept());
     core::spawn(executor_, registration_loop());
+    core::spawn(executor_, group_.run());
     while (!stopping_) {
         co_await stop_.wait();
     }
@@ -138,6 +146,12 @@
     if (!first) {
         co_return;
     }
+    const core::result<expertmaps::group_hello> member =
+        wire::decode<expertmaps::group_hello>(first.value());
+    if (member) {
+        co_await group_.serve(std::move(connection), member.value());
+        co_return;
+    }
     const core::result<sessions::hello> h = wire::decode<sessions::hello>(first.value());
     if (!h) {
         core::counter_for("hellos_refused_total").add();
@@ -166,6 +180,7 @@
 void agent_node<Backend>::apply_configuration()
 {
     endpoint_.configuration = configuration_.revision();
+    group_.configure(configuration_.known(), settings_.endpoint_name);
     const auto own = configuration_.known().endpoints().find(settings_.endpoint_name);
     const bool known =
         own != configuration_.known().endpoints().end() && own->second.spec.host == settings_.host;
@@ -175,9 +190,10 @@
     }
     const intents::endpoint_spec& spec = own->second.spec;
     const bool leaving = spec.desired == intents::desired_state::leaving;
-    if (leaving != gate_.leaving()) {
+    if (leaving != desired_leaving_) {
         core::log_event("endpoint_desired").field("leaving", leaving);
     }
+    desired_leaving_ = leaving;
     gate_.set_concurrency(static_cast<std::uint32_t>(spec.concurrency));
     gate_.set_desired_leaving(leaving);
 }
--- /dev/null
+++ b/src/agent/grouprole.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "agent/engineorders.h"
+#include "endpoints/httpservice.h"
+#include "expertmaps/groupcoordinator.h"
+#include "platform/httpplatform.h"
+
+namespace currantpitch::agent {
+
+/// The part of an agent that takes part in its model group. Plain services have no group.
+template <class Backend>
+class group_role {
+public:
+    group_role(const core::asio::any_io_executor&, platform::http_platform&, Backend&,
+               core::host_id, core::incarnation)
+    {
+    }
+    void on_status(const endpoints::endpoint_status&) {}
+    void configure(const intents::catalog&, const core::endpoint_id&) {}
+    core::task<void> run() { co_return; }
+    core::task<void> serve(std::shared_ptr<wire::framed_connection>, expertmaps::group_hello)
+    {
+        co_return;
+    }
+};
+
+/// Beside a model engine the agent coordinates its rank, and leads the group when its turn comes.
+template <>
+class group_role<endpoints::http_engine> {
+public:
+    group_role(const core::asio::any_io_executor& executor, platform::http_platform& store,
+               endpoints::http_engine& engine, core::host_id host, core::incarnation own)
+        : orders_(engine), coordinator_(executor, store, orders_, std::move(host), own)
+    {
+    }
+    void on_status(const endpoints::endpoint_status& status)
+    {
+        coordinator_.on_status(rank_status_of(status));
+    }
+    void configure(const intents::catalog& known, const core::endpoint_id& endpoint)
+    {
+        std::optional<expertmaps::group_configuration> group = group_of(known, endpoint);
+        if (group) {
+            coordinator_.configure(std::move(*group));
+        }
+    }
+    core::task<void> run() { return coordinator_.run(); }
+    core::task<void> serve(std::shared_ptr<wire::framed_connection> connection,
+                           expertmaps::group_hello h)
+    {
+        return coordinator_.serve(std::move(connection), std::move(h));
+    }
+
+private:
+    engine_orders orders_;
+    expertmaps::group_coordinator<platform::http_platform, engine_orders> coordinator_;
+};
+
+} // namespace currantpitch::agent
--- a/src/endpoints/internal/engineprotocol.cpp
+++ b/src/endpoints/internal/engineprotocol.cpp
@@ -35,6 +35,16 @@
 
 } // namespace
 
+namespace {
+
+bool flag(const json::object& from, std::string_view field)
+{
+    const json::value* const value = from.if_contains(field);
+    return value != nullptr && value->is_bool() && value->as_bool();
+}
+
+} // namespace
+
 core::result<engine_event> parse_event(std::string_view record)
 {
     engine_event event;
@@ -74,6 +84,10 @@
     status.age = std::chrono::milliseconds(unsigned_or_zero(*data, "age_ms"));
     status.step.value = unsigned_or_zero(*data, "step");
     status.map.value = unsigned_or_zero(*data, "map_version");
+    status.fresh = flag(*data, "fresh");
+    status.prepared_map.value = unsigned_or_zero(*data, "prepared_version");
+    status.prepared_step.value = unsigned_or_zero(*data, "prepared_step");
+    status.prepared_committed = flag(*data, "prepared_committed");
     status.rank_step_time = std::chrono::nanoseconds(unsigned_or_zero(*data, "rank_step_ns"));
     const json::value* const experts = data->if_contains("expert_tokens");
     if (experts != nullptr && experts->is_array()) {
--- a/src/endpoints/internal/engineprotocol.h
+++ b/src/endpoints/internal/engineprotocol.h
@@ -30,6 +30,12 @@
     std::chrono::milliseconds age{};
     core::step_number step;
     core::map_version map;
+    /// The engine lost its state and takes no step before it is told its group's.
+    bool fresh = false;
+    /// A map switch that is prepared: its version and step, and whether it is committed.
+    core::map_version prepared_map;
+    core::step_number prepared_step;
+    bool prepared_committed = false;
     /// Tokens routed to each expert since the engine started; empty when not reported.
     std::vector<double> expert_tokens;
     /// Mean time of a step on this rank alone, without waiting for others.
--- /dev/null
+++ b/src/expertmaps/expertmapsconstants.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace currantpitch::expertmaps {
+
+/// Most sweeps of one balancing of replica weights, and the change of the slowest rank's time
+/// below which it ends, as a part of that time.
+inline constexpr int max_balance_sweeps = 24;
+inline constexpr double balance_tolerance = 5e-4;
+
+/// Most replica moves that one plan considers.
+inline constexpr int max_moves_considered = 64;
+/// Experts of the slowest rank and fast ranks that are tried for one move.
+inline constexpr std::size_t move_experts_tried = 3;
+inline constexpr std::size_t move_targets_tried = 3;
+/// Skew up to which no further move is looked for.
+inline constexpr double good_enough_skew = 1.01;
+/// Exponent of the norm by which the search compares placements; a high one follows the slowest
+/// ranks.
+inline constexpr double search_norm = 12;
+
+/// Time for which a popularity is expected to last when it shows no drift.
+inline constexpr std::chrono::seconds horizon{120};
+/// Part by which the gain of a plan must exceed its cost.
+inline constexpr double hysteresis = 1.25;
+/// Skew that must be gained for a plan to be made at all.
+inline constexpr double smallest_gain = 0.02;
+/// Rate at which one rank takes weights in from the store, in bytes a second.
+inline constexpr double store_bytes_per_second = 1e9;
+
+/// Weight of the newest sample in the slow and the fast mean of popularity.
+inline constexpr double slow_weight = 0.15;
+inline constexpr double fast_weight = 0.7;
+/// Distance of the two means (half the sum of differences) from which the fast one counts.
+inline constexpr double burst_distance = 0.10;
+/// Weight of the newest sample in a rank's speed.
+inline constexpr double speed_weight = 0.3;
+/// Age above which a report is not used, and above which no plan is made.
+inline constexpr std::chrono::seconds report_lifetime{30};
+/// Date in the future up to which a report is used.
+inline constexpr std::chrono::seconds longest_lead{2};
+/// Largest token count that a report may carry.
+inline constexpr double most_tokens = 1e15;
+
+/// Interval at which a leader plans.
+inline constexpr std::chrono::seconds planning_period{10};
+/// Time between a prepare and its step, and the fewest steps it must cover.
+inline constexpr std::chrono::milliseconds prepare_lead{400};
+inline constexpr std::uint64_t fewest_lead_steps = 8;
+/// Interval at which unanswered orders are sent again.
+inline constexpr std::chrono::milliseconds order_resend_interval{200};
+/// Time for all ranks to accept a prepare; it is aborted after that.
+inline constexpr std::chrono::milliseconds prepare_timeout{1000};
+/// Bits of a map version that count the versions of one leader.
+inline constexpr unsigned versions_per_fence_bits = 24;
+/// Silence after which another candidate takes the leader for dead.
+inline constexpr std::chrono::milliseconds leader_silence_limit{3000};
+/// Agents of a group that may become its leader.
+inline constexpr std::size_t leader_candidates = 3;
+
+} // namespace currantpitch::expertmaps
--- /dev/null
+++ b/src/expertmaps/groupcoordinator.h
@@ -0,0 +1,605 @@
+#pragma once
+
+#include "core/counters.h"
+#include "core/eventlog.h"
+#include "core/notifier.h"
+#include "expertmaps/expertmapsconstants.h"
+#include "expertmaps/fenceclaim.h"
+#include "expertmaps/groupmembers.h"
+#include "expertmaps/popularity.h"
+#include "expertmaps/switchleader.h"
+#include "expertmaps/switchparticipant.h"
+#include "wire/framedconnection.h"
+#include "wire/packer.h"
+#include "wire/unpacker.h"
+#include "wire/wireconstants.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace currantpitch::expertmaps {
+
+/// Paces of a coordinator, shorter in tests.
+struct coordinator_pace {
+    std::chrono::milliseconds planning = planning_period;
+    std::chrono::milliseconds report{1000};
+    std::chrono::milliseconds tick{100};
+    std::chrono::milliseconds leader_silence = leader_silence_limit;
+};
+
+/// One agent's part in its group: carries out orders on its rank, and leads the group when it is
+/// the first candidate that lives. Leadership is claimed by one conditional write and needs no
+/// renewal; a leader that was paused finds its fence refused.
+template <platform::platform_client Platform, rank_engine Engine>
+class group_coordinator {
+public:
+    group_coordinator(const core::asio::any_io_executor& executor, Platform& store, Engine& engine,
+                      core::host_id self, core::incarnation own, coordinator_pace pace = {})
+        : executor_(executor), store_(store), engine_(engine), self_(std::move(self)), own_(own),
+          pace_(pace), order_done_(executor)
+    {
+    }
+
+    /// Takes the group's configuration; called again when it changes.
+    void configure(group_configuration configuration);
+    /// Takes what the engine reports.
+    void on_status(const rank_status& status);
+    /// Serves a member's connection from its hello on.
+    core::task<void> serve(std::shared_ptr<wire::framed_connection> connection, group_hello h);
+    /// Runs the coordinator's regular work until stop.
+    core::task<void> run();
+    /// Ends the regular work and all connections with the group.
+    void stop();
+
+    bool leads() const { return leader_ != nullptr; }
+    core::map_version active() const { return participant_.state().active; }
+
+private:
+    struct member_session {
+        std::shared_ptr<wire::framed_connection> connection;
+        core::incarnation incarnation;
+    };
+
+    bool is_member() const { return own_rank_.has_value(); }
+    std::vector<group_member> candidates() const;
+    core::task<void> member_task(group_member candidate);
+    core::task<void> member_read(wire::framed_connection& connection, group_member candidate);
+    core::task<void> member_write(wire::framed_connection& connection);
+    core::task<rank_answer> carry_out(rank_order order);
+    core::task<void> carry_out_locally(rank_order order);
+    void take_answer(const rank_answer& answer);
+    void take_report(const rank_report& report);
+    rank_report own_report() const;
+    bool lower_candidate_lives() const;
+    core::task<void> claim_leadership();
+    void lead(core::time_point now);
+    void plan_next(core::time_point now);
+    void send(std::vector<addressed_order> orders);
+    std::optional<group_sample> collect(core::time_point now);
+    void log_plan(const plan& p) const;
+
+    core::asio::any_io_executor executor_;
+    Platform& store_;
+    Engine& engine_;
+    core::host_id self_;
+    core::incarnation own_;
+    coordinator_pace pace_;
+
+    group_configuration configuration_;
+    std::optional<std::uint32_t> own_rank_;
+    switch_participant participant_{0, core::map_version{}, true};
+    bool fence_known_ = false;
+    rank_status status_;
+    std::optional<expert_map> active_map_;
+    std::optional<expert_map> staged_map_;
+    bool order_open_ = false;
+    core::notifier order_done_;
+
+    std::map<core::host_id, core::time_point> candidate_heard_;
+    std::set<core::host_id> dialled_;
+    std::map<std::uint32_t, member_session> sessions_;
+    std::unique_ptr<switch_leader> leader_;
+    bool claiming_ = false;
+    std::optional<planner> planner_;
+    std::optional<popularity_tracker> popularity_;
+    expert_map present_;
+    std::map<std::uint32_t, rank_report> reports_;
+    std::map<std::uint32_t, std::vector<double>> counted_;
+    core::time_point next_plan_;
+    core::time_point next_sample_;
+    core::time_point quiet_since_;
+    core::step_number step_before_;
+    core::time_point step_before_at_;
+    double steps_per_second_ = 0;
+    bool stopped_ = false;
+};
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::configure(group_configuration configuration)
+{
+    const bool same_shape =
+        planner_ && configuration.group == configuration_.group &&
+        configuration.options.shape.ranks == configuration_.options.shape.ranks &&
+        configuration.options.shape.experts == configuration_.options.shape.experts &&
+        configuration.options.shape.slots_per_rank == configuration_.options.shape.slots_per_rank;
+    configuration_ = std::move(configuration);
+    own_rank_.reset();
+    for (const group_member& m : configuration_.members) {
+        if (m.host == self_) {
+            own_rank_ = m.rank;
+        }
+    }
+    if (same_shape) {
+        planner_->set_options(configuration_.options);
+    }
+    else {
+        planner_.emplace(configuration_.options);
+        popularity_.emplace(configuration_.options.shape.experts,
+                            configuration_.options.shape.ranks);
+        present_ = initial_map(configuration_.options.shape);
+        leader_.reset();
+    }
+    if (!is_member()) {
+        leader_.reset();
+        return;
+    }
+    participant_.set_rank(*own_rank_);
+    for (const group_member& candidate : candidates()) {
+        if (candidate.host != self_ && dialled_.insert(candidate.host).second) {
+            core::spawn(executor_, member_task(candidate));
+        }
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::stop()
+{
+    stopped_ = true;
+    leader_.reset();
+    for (const std::pair<const std::uint32_t, member_session>& entry : sessions_) {
+        entry.second.connection->close();
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+std::vector<group_member> group_coordinator<Platform, Engine>::candidates() const
+{
+    std::vector<group_member> list = configuration_.members;
+    std::sort(list.begin(), list.end(),
+              [](const group_member& a, const group_member& b) { return a.rank < b.rank; });
+    list.resize(std::min(list.size(), leader_candidates));
+    return list;
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::on_status(const rank_status& status)
+{
+    const bool first = status_.incarnation == core::incarnation{};
+    const bool replaced = !first && status.incarnation != status_.incarnation;
+    status_ = status;
+    if (first || replaced) {
+        const core::fence promised = participant_.state().promised;
+        participant_ = switch_participant(own_rank_.value_or(0), status.active, status.fresh);
+        rank_state kept = participant_.state();
+        kept.prepared = status.prepared;
+        kept.committed = status.committed;
+        kept.promised = promised;
+        participant_.restore(kept);
+    }
+    if (replaced) {
+        // Other leaders ask the rank again on its new connection, which member_write brings about.
+        if (leader_) {
+            send(leader_->on_rank_back(*own_rank_, core::runtime_clock::now()));
+        }
+    }
+    if (participant_.state().active != status.active && !status.fresh) {
+        participant_.begin(status.step);
+        if (staged_map_ && staged_map_->version == status.active) {
+            active_map_ = staged_map_;
+            core::log_event("map_active")
+                .field("group", configuration_.group)
+                .field("version", status.active)
+                .field("step", status.step);
+        }
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<void> group_coordinator<Platform, Engine>::member_task(group_member candidate)
+{
+    using namespace core::asio::experimental::awaitable_operators;
+    while (!stopped_) {
+        core::result<core::asio::ip::tcp::socket> socket = co_await wire::connect(
+            candidate.address, core::runtime_clock::now() + std::chrono::seconds(1));
+        if (socket && is_member()) {
+            wire::framed_connection connection(std::move(socket.value()));
+            connection.send(
+                wire::encode(group_hello{configuration_.group, self_, own_, *own_rank_}));
+            co_await (member_read(connection, candidate) || connection.write_loop() ||
+                      member_write(connection));
+            connection.close();
+        }
+        co_await core::sleep_for(pace_.tick * 2);
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<void>
+group_coordinator<Platform, Engine>::member_read(wire::framed_connection& connection,
+                                                 group_member candidate)
+{
+    while (!connection.closed()) {
+        const core::result<std::string> frame = co_await connection.receive();
+        if (!frame) {
+            co_return;
+        }
+        candidate_heard_[candidate.host] = core::runtime_clock::now();
+        const core::result<std::uint8_t> type = wire::message_type(frame.value());
+        if (!type) {
+            co_return;
+        }
+        if (type.value() == rank_order_type) {
+            core::result<rank_order> order = wire::decode<rank_order>(frame.value());
+            if (!order) {
+                co_return;
+            }
+            const rank_answer answer = co_await carry_out(std::move(order.value()));
+            connection.send(wire::encode(answer));
+        }
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<void>
+group_coordinator<Platform, Engine>::member_write(wire::framed_connection& connection)
+{
+    const core::incarnation engine_life = status_.incarnation;
+    while (!connection.closed() && !stopped_ && status_.incarnation == engine_life) {
+        if (core::runtime_clock::now() - connection.last_received() > wire::silence_limit) {
+            co_return;
+        }
+        connection.send(wire::encode(own_report()));
+        co_await core::sleep_for(std::min<core::duration>(pace_.report, wire::heartbeat_interval));
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+rank_report group_coordinator<Platform, Engine>::own_report() const
+{
+    return {own_rank_.value_or(0), status_.step, status_.expert_tokens, status_.step_time,
+            status_.age};
+}
+
+// One order at a time reaches the engine, and each is confirmed before the next.
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<rank_answer> group_coordinator<Platform, Engine>::carry_out(rank_order order)
+{
+    while (order_open_) {
+        co_await order_done_.wait();
+    }
+    order_open_ = true;
+    if (!fence_known_) {
+        // A restarted agent does not know what it promised; the platform knows every fence.
+        const core::result<core::fence> highest = co_await read_fence(store_, configuration_.group);
+        fence_known_ = highest.has_value();
+        if (highest) {
+            participant_.promise(highest.value());
+        }
+    }
+    rank_answer answer;
+    answer.rank = own_rank_.value_or(0);
+    answer.kind = order.kind;
+    answer.proposal = order.proposal;
+    answer.reason = "the highest fence is not known yet";
+    if (fence_known_) {
+        const rank_state before = participant_.state();
+        answer = participant_.on_order(order, status_.step);
+        const bool for_engine = answer.accepted && order.kind != order_kind::query;
+        if (for_engine) {
+            const core::time_point deadline = core::runtime_clock::now() + prepare_timeout;
+            const core::result<void> done = co_await engine_.order(order, deadline);
+            if (!done) {
+                answer.accepted = false;
+                answer.reason = done.error().detail;
+                const bool nothing_happened = done.error().code == core::errc::refused ||
+                                              done.error().code == core::errc::unavailable;
+                if (nothing_happened) {
+                    rank_state kept = before;
+                    kept.promised = participant_.state().promised;
+                    participant_.restore(kept);
+                }
+            }
+            else if (order.kind == order_kind::stage) {
+                participant_.on_staged(order.version);
+                staged_map_ = order.map;
+            }
+        }
+        answer.state = participant_.state();
+        answer.state.step = status_.step;
+        if (order.kind == order_kind::query) {
+            answer.map = active_map_;
+        }
+    }
+    order_open_ = false;
+    order_done_.notify();
+    co_return answer;
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<void> group_coordinator<Platform, Engine>::carry_out_locally(rank_order order)
+{
+    const rank_answer answer = co_await carry_out(std::move(order));
+    take_answer(answer);
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<void>
+group_coordinator<Platform, Engine>::serve(std::shared_ptr<wire::framed_connection> connection,
+                                           group_hello h)
+{
+    using namespace core::asio::experimental::awaitable_operators;
+    const bool known =
+        std::any_of(configuration_.members.begin(), configuration_.members.end(),
+                    [&h](const group_member& m) { return m.rank == h.rank && m.host == h.host; });
+    core::log_event("group_member")
+        .field("group", h.group)
+        .field("member", h.host)
+        .field("rank", h.rank)
+        .field("accepted", known);
+    if (!known || h.group != configuration_.group) {
+        co_return;
+    }
+    const auto previous = sessions_.find(h.rank);
+    if (previous != sessions_.end()) {
+        previous->second.connection->close();
+    }
+    sessions_[h.rank] = {connection, h.incarnation};
+    if (leader_) {
+        send(leader_->on_rank_back(h.rank, core::runtime_clock::now()));
+    }
+    core::task<void> reading = [](group_coordinator& self,
+                                  wire::framed_connection& c) -> core::task<void> {
+        while (!c.closed()) {
+            const core::result<std::string> frame = co_await c.receive();
+            if (!frame) {
+                co_return;
+            }
+            const core::result<rank_answer> answer = wire::decode<rank_answer>(frame.value());
+            const core::result<rank_report> report = wire::decode<rank_report>(frame.value());
+            if (answer) {
+                self.take_answer(answer.value());
+            }
+            if (report) {
+                self.take_report(report.value());
+            }
+        }
+    }(*this, *connection);
+    core::task<void> beating = [](wire::framed_connection& c) -> core::task<void> {
+        while (!c.closed() &&
+               core::runtime_clock::now() - c.last_received() <= wire::silence_limit) {
+            c.send(wire::encode(group_beat{}));
+            co_await core::sleep_for(wire::heartbeat_interval);
+        }
+    }(*connection);
+    co_await (std::move(reading) || connection->write_loop() || std::move(beating));
+    connection->close();
+    const auto present = sessions_.find(h.rank);
+    if (present != sessions_.end() && present->second.connection == connection) {
+        sessions_.erase(present);
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+bool group_coordinator<Platform, Engine>::lower_candidate_lives() const
+{
+    for (const group_member& candidate : candidates()) {
+        if (candidate.host == self_) {
+            return false;
+        }
+        const auto heard = candidate_heard_.find(candidate.host);
+        const core::time_point last =
+            heard == candidate_heard_.end() ? quiet_since_ : heard->second;
+        if (core::runtime_clock::now() - last <= pace_.leader_silence) {
+            return true;
+        }
+    }
+    // Not a candidate at all.
+    return true;
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<void> group_coordinator<Platform, Engine>::run()
+{
+    quiet_since_ = core::runtime_clock::now();
+    while (!stopped_) {
+        co_await core::sleep_for(pace_.tick);
+        const core::time_point now = core::runtime_clock::now();
+        const bool able = !stopped_ && is_member() && configuration_.complete() &&
+                          status_.incarnation != core::incarnation{};
+        if (!able) {
+            continue;
+        }
+        if (leader_ && (leader_->phase() == leader_phase::deposed || lower_candidate_lives())) {
+            core::log_event("map_leader_ends")
+                .field("group", configuration_.group)
+                .field("fence", leader_->fence());
+            leader_.reset();
+        }
+        if (!leader_ && !claiming_ && !lower_candidate_lives()) {
+            co_await claim_leadership();
+        }
+        if (leader_) {
+            lead(now);
+        }
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+core::task<void> group_coordinator<Platform, Engine>::claim_leadership()
+{
+    claiming_ = true;
+    const core::result<core::fence> fence =
+        co_await claim_fence(store_, configuration_.group, own_.value);
+    claiming_ = false;
+    if (!fence) {
+        // Without a leader the map stays as it is, and serving goes on.
+        co_await core::sleep_for(pace_.leader_silence);
+        co_return;
+    }
+    core::log_event("map_leader")
+        .field("group", configuration_.group)
+        .field("host", self_)
+        .field("fence", fence.value());
+    core::counter_for("map_leaderships_total").add();
+    leader_ = std::make_unique<switch_leader>(fence.value(), configuration_.options.shape.ranks);
+    next_plan_ = core::runtime_clock::now() + pace_.planning;
+    send(leader_->begin(core::runtime_clock::now()));
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::send(std::vector<addressed_order> orders)
+{
+    for (addressed_order& o : orders) {
+        const bool carries_map = o.order.kind == order_kind::adopt;
+        if (carries_map && present_.version == o.order.version) {
+            o.order.map = present_;
+        }
+        if (own_rank_ && o.rank == *own_rank_) {
+            core::spawn(executor_, carry_out_locally(std::move(o.order)));
+            continue;
+        }
+        const auto session = sessions_.find(o.rank);
+        if (session != sessions_.end()) {
+            session->second.connection->send(wire::encode(o.order));
+        }
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::take_answer(const rank_answer& answer)
+{
+    if (!leader_) {
+        return;
+    }
+    if (answer.map && answer.map->version >= present_.version &&
+        validate(*answer.map, configuration_.options.shape).empty()) {
+        present_ = *answer.map;
+    }
+    const leader_phase before = leader_->phase();
+    send(leader_->on_answer(answer, core::runtime_clock::now()));
+    if (leader_->phase() != before) {
+        core::log_event("map_switch")
+            .field("group", configuration_.group)
+            .field("fence", leader_->fence())
+            .field("from", to_string(before))
+            .field("to", to_string(leader_->phase()))
+            .field("rank", answer.rank)
+            .field("reason", answer.reason);
+    }
+    if (before == leader_phase::committing && leader_->phase() == leader_phase::idle &&
+        staged_map_) {
+        present_ = *staged_map_;
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::take_report(const rank_report& report)
+{
+    if (report.rank < configuration_.options.shape.ranks) {
+        reports_[report.rank] = report;
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::lead(core::time_point now)
+{
+    send(leader_->tick(now));
+    const double seconds = std::chrono::duration<double>(now - step_before_at_).count();
+    if (seconds > 0.5) {
+        steps_per_second_ = static_cast<double>(status_.step.value - step_before_.value) / seconds;
+        step_before_ = status_.step;
+        step_before_at_ = now;
+    }
+    if (leader_->staged()) {
+        const double lead_steps =
+            std::chrono::duration<double>(prepare_lead).count() * steps_per_second_;
+        const std::uint64_t ahead =
+            std::max(fewest_lead_steps, static_cast<std::uint64_t>(std::max(lead_steps, 0.0)));
+        const std::uint64_t from = std::max(status_.step.value, leader_->last_step().value);
+        send(leader_->prepare_at(core::step_number{from + ahead}, now));
+    }
+    if (now >= next_sample_) {
+        next_sample_ = now + pace_.report;
+        const std::optional<group_sample> sample = collect(now);
+        if (sample) {
+            const core::result<void> taken = popularity_->add(*sample, now);
+            core::counter_for(taken ? "group_samples_taken_total" : "group_samples_ignored_total")
+                .add();
+        }
+    }
+    if (now >= next_plan_ && leader_->phase() == leader_phase::idle) {
+        next_plan_ = now + pace_.planning;
+        plan_next(now);
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+std::optional<group_sample> group_coordinator<Platform, Engine>::collect(core::time_point now)
+{
+    take_report(own_report());
+    const map_shape& shape = configuration_.options.shape;
+    if (reports_.size() < shape.ranks) {
+        return std::nullopt;
+    }
+    group_sample sample;
+    sample.at = now;
+    sample.expert_tokens.assign(shape.experts, 0);
+    for (const std::pair<const std::uint32_t, rank_report>& entry : reports_) {
+        const std::vector<double>& total = entry.second.expert_tokens;
+        if (total.size() != shape.experts) {
+            return std::nullopt;
+        }
+        std::vector<double>& before = counted_[entry.first];
+        before.resize(shape.experts, 0);
+        for (std::size_t i = 0; i < total.size(); ++i) {
+            // A count that went back belongs to a restarted engine.
+            sample.expert_tokens[i] += total[i] >= before[i] ? total[i] - before[i] : total[i];
+        }
+        before = total;
+        sample.at = std::min(sample.at, now - entry.second.age);
+        sample.rank_step_times.push_back(entry.second.step_time);
+    }
+    sample.rank_tokens = rank_times(present_, sample.expert_tokens, {});
+    reports_.clear();
+    return sample;
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::plan_next(core::time_point now)
+{
+    const plan p = planner_->make(present_, popularity_->estimate(now), now);
+    log_plan(p);
+    core::counter_for("map_plans_total", "reason=\"" + std::string(to_string(p.reason)) + "\"")
+        .add();
+    if (p.changes()) {
+        send(leader_->propose(p.map, now));
+    }
+}
+
+template <platform::platform_client Platform, rank_engine Engine>
+void group_coordinator<Platform, Engine>::log_plan(const plan& p) const
+{
+    core::log_event("placement")
+        .field("group", configuration_.group)
+        .field("reason", to_string(p.reason))
+        .field("skew_before", p.skew_before)
+        .field("skew_after", p.skew_after)
+        .field("gain", p.gain)
+        .field("cost", p.cost)
+        .field("moved_replicas", p.moved)
+        .field("moved_bytes", p.moved_bytes);
+}
+
+} // namespace currantpitch::expertmaps
--- /dev/null
+++ b/src/expertmaps/internal/placementsearch.cpp
@@ -0,0 +1,275 @@
+#include "expertmaps/internal/placementsearch.h"
+
+#include "expertmaps/expertmapsconstants.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <optional>
+#include <queue>
+#include <set>
+
+namespace currantpitch::expertmaps {
+
+namespace {
+
+double speed_at(const std::vector<double>& speeds, std::size_t rank)
+{
+    return rank < speeds.size() && speeds[rank] > 0 ? speeds[rank] : 1;
+}
+
+bool holds(const expert_map& map, std::size_t rank, std::uint32_t expert)
+{
+    return std::any_of(map.ranks[rank].begin(), map.ranks[rank].end(),
+                       [expert](const replica& r) { return r.expert == expert; });
+}
+
+std::vector<std::uint32_t> copies_of(const expert_map& map)
+{
+    std::vector<std::uint32_t> copies(map.experts, 0);
+    for (const std::vector<replica>& held : map.ranks) {
+        for (const replica& r : held) {
+            ++copies[r.expert];
+        }
+    }
+    return copies;
+}
+
+/// Number of replicas of each expert when all slots are used, hot experts first.
+std::vector<std::uint32_t> spread_slots(const map_shape& shape,
+                                        const std::vector<double>& expert_tokens)
+{
+    struct part {
+        double tokens = 0;
+        std::uint32_t expert = 0;
+        bool operator<(const part& other) const { return tokens < other.tokens; }
+    };
+    std::vector<std::uint32_t> copies(shape.experts, 1);
+    std::priority_queue<part> largest;
+    for (std::uint32_t expert = 0; expert < shape.experts; ++expert) {
+        largest.push({expert_tokens[expert], expert});
+    }
+    const std::uint64_t slots = std::uint64_t{shape.ranks} * shape.slots_per_rank;
+    for (std::uint64_t used = shape.experts; used < slots && !largest.empty(); ++used) {
+        const part top = largest.top();
+        largest.pop();
+        if (copies[top.expert] < shape.ranks) {
+            ++copies[top.expert];
+            largest.push({expert_tokens[top.expert] / copies[top.expert], top.expert});
+        }
+    }
+    return copies;
+}
+
+/// A higher value means that the slowest ranks are slower.
+double norm_of(const std::vector<double>& times, double ideal)
+{
+    double sum = 0;
+    for (const double t : times) {
+        sum += std::pow(t / ideal, search_norm);
+    }
+    return sum;
+}
+
+/// One move that could be made.
+struct candidate_move {
+    std::uint32_t expert = 0;
+    std::size_t target = 0;
+    /// Slot of the target that is taken; its size when a slot is free.
+    std::size_t slot = 0;
+};
+
+/// The slot of a rank whose replica matters least; nothing when each is the last of its expert.
+std::optional<std::size_t> slot_to_take(const map_shape& shape, const expert_map& map,
+                                        std::size_t rank, const std::vector<double>& tokens,
+                                        const std::vector<std::uint32_t>& copies)
+{
+    const std::vector<replica>& held = map.ranks[rank];
+    if (held.size() < shape.slots_per_rank) {
+        return held.size();
+    }
+    std::optional<std::size_t> best;
+    for (std::size_t slot = 0; slot < held.size(); ++slot) {
+        const bool spare = copies[held[slot].expert] > 1;
+        const double carried = held[slot].weight * tokens[held[slot].expert];
+        const bool better = !best || carried < held[*best].weight * tokens[held[*best].expert];
+        if (spare && better) {
+            best = slot;
+        }
+    }
+    return best;
+}
+
+std::vector<candidate_move> candidates(const map_shape& shape, const expert_map& map,
+                                       const std::vector<double>& tokens,
+                                       const std::vector<double>& times)
+{
+    const std::vector<std::uint32_t> copies = copies_of(map);
+    std::vector<std::size_t> order(times.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::sort(order.begin(), order.end(),
+              [&times](std::size_t a, std::size_t b) { return times[a] < times[b]; });
+    const std::size_t slowest = order.back();
+    std::vector<replica> heavy = map.ranks[slowest];
+    std::sort(heavy.begin(), heavy.end(), [&tokens](const replica& a, const replica& b) {
+        return a.weight * tokens[a.expert] > b.weight * tokens[b.expert];
+    });
+    heavy.resize(std::min(heavy.size(), move_experts_tried));
+    std::vector<candidate_move> list;
+    for (const replica& r : heavy) {
+        std::size_t tried = 0;
+        for (const std::size_t target : order) {
+            if (tried == move_targets_tried || target == slowest) {
+                break;
+            }
+            if (holds(map, target, r.expert)) {
+                continue;
+            }
+            const std::optional<std::size_t> slot =
+                slot_to_take(shape, map, target, tokens, copies);
+            if (slot) {
+                list.push_back({r.expert, target, *slot});
+                ++tried;
+            }
+        }
+    }
+    return list;
+}
+
+expert_map after_move(const expert_map& map, const candidate_move& move)
+{
+    expert_map next = map;
+    std::vector<replica>& held = next.ranks[move.target];
+    if (move.slot == held.size()) {
+        held.push_back({move.expert, 0});
+        return next;
+    }
+    // The tokens of the replica that goes are taken up by the balancing that follows.
+    const replica gone = held[move.slot];
+    held[move.slot] = {move.expert, 0};
+    for (std::vector<replica>& others : next.ranks) {
+        for (replica& r : others) {
+            if (r.expert == gone.expert) {
+                r.weight = gone.weight < 1 ? r.weight / (1 - gone.weight) : 0;
+            }
+        }
+    }
+    return next;
+}
+
+} // namespace
+
+expert_map place_from_scratch(const map_shape& shape, const std::vector<double>& expert_tokens,
+                              const std::vector<double>& speeds)
+{
+    const std::vector<std::uint32_t> copies = spread_slots(shape, expert_tokens);
+    std::vector<std::uint32_t> order(shape.experts);
+    std::iota(order.begin(), order.end(), 0U);
+    std::sort(order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) {
+        return expert_tokens[a] / copies[a] > expert_tokens[b] / copies[b];
+    });
+    expert_map map{core::map_version{1}, shape.experts, {}};
+    map.ranks.resize(shape.ranks);
+    std::vector<double> loads(shape.ranks, 0);
+    // First one copy of each expert finds a place, then the further copies take what is left.
+    for (const bool first_copies : {true, false}) {
+        for (const std::uint32_t expert : order) {
+            const std::uint32_t wanted = first_copies ? 1 : copies[expert] - 1;
+            for (std::uint32_t i = 0; i < wanted; ++i) {
+                std::optional<std::size_t> best;
+                for (std::size_t rank = 0; rank < shape.ranks; ++rank) {
+                    const bool possible =
+                        map.ranks[rank].size() < shape.slots_per_rank && !holds(map, rank, expert);
+                    const bool better = !best || loads[rank] / speed_at(speeds, rank) <
+                                                     loads[*best] / speed_at(speeds, *best);
+                    if (possible && better) {
+                        best = rank;
+                    }
+                }
+                if (best) {
+                    map.ranks[*best].push_back({expert, 0});
+                    loads[*best] += expert_tokens[expert] / copies[expert];
+                }
+            }
+        }
+    }
+    const std::vector<std::uint32_t> placed = copies_of(map);
+    for (std::vector<replica>& held : map.ranks) {
+        for (replica& r : held) {
+            r.weight = 1.0 / placed[r.expert];
+        }
+    }
+    balance_weights(map, expert_tokens, speeds);
+    return map;
+}
+
+expert_map match_ranks(const expert_map& wanted, const expert_map& present,
+                       const std::vector<double>& speeds)
+{
+    const std::size_t ranks = wanted.ranks.size();
+    std::vector<std::set<std::uint32_t>> held(ranks);
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        for (const replica& r : present.ranks[rank]) {
+            held[rank].insert(r.expert);
+        }
+    }
+    expert_map matched = wanted;
+    std::vector<bool> taken(ranks, false);
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        std::optional<std::size_t> best;
+        std::size_t best_shared = 0;
+        for (std::size_t other = 0; other < ranks; ++other) {
+            if (taken[other] || speed_at(speeds, other) != speed_at(speeds, rank)) {
+                continue;
+            }
+            std::size_t shared = 0;
+            for (const replica& r : wanted.ranks[other]) {
+                shared += held[rank].count(r.expert);
+            }
+            if (!best || shared > best_shared) {
+                best = other;
+                best_shared = shared;
+            }
+        }
+        matched.ranks[rank] = wanted.ranks[*best];
+        taken[*best] = true;
+    }
+    return matched;
+}
+
+std::vector<search_step> improve_step_by_step(const map_shape& shape, const expert_map& present,
+                                              const std::vector<double>& expert_tokens,
+                                              const std::vector<double>& speeds, int most_moves)
+{
+    const double ideal = ideal_time(expert_tokens, speeds, shape.ranks);
+    expert_map map = present;
+    balance_weights(map, expert_tokens, speeds);
+    std::vector<double> times = rank_times(map, expert_tokens, speeds);
+    double slowest = *std::max_element(times.begin(), times.end());
+    double norm = norm_of(times, ideal);
+    std::vector<search_step> steps = {{map, slowest, 0}};
+    for (int move = 0; move < most_moves && slowest > ideal * good_enough_skew; ++move) {
+        std::optional<expert_map> best;
+        double best_norm = norm;
+        for (const candidate_move& c : candidates(shape, map, expert_tokens, times)) {
+            expert_map next = after_move(map, c);
+            balance_weights(next, expert_tokens, speeds);
+            const double next_norm = norm_of(rank_times(next, expert_tokens, speeds), ideal);
+            if (next_norm < best_norm) {
+                best_norm = next_norm;
+                best = std::move(next);
+            }
+        }
+        if (!best) {
+            break;
+        }
+        map = std::move(*best);
+        norm = best_norm;
+        times = rank_times(map, expert_tokens, speeds);
+        slowest = *std::max_element(times.begin(), times.end());
+        steps.push_back({map, slowest, moved_replicas(present, map)});
+    }
+    return steps;
+}
+
+} // namespace currantpitch::expertmaps
--- /dev/null
+++ b/src/expertmaps/planner.cpp
@@ -0,0 +1,147 @@
+#include "expertmaps/planner.h"
+
+#include "expertmaps/expertmapsconstants.h"
+#include "expertmaps/internal/placementsearch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantpitch::expertmaps {
+
+namespace {
+
+constexpr double seconds_per_hour = 3600;
+
+double slowest_of(const expert_map& map, const popularity_estimate& estimate)
+{
+    const std::vector<double> times = rank_times(map, estimate.expert_share, estimate.rank_speed);
+    return *std::max_element(times.begin(), times.end());
+}
+
+} // namespace
+
+std::string_view to_string(plan_reason reason)
+{
+    switch (reason) {
+    case plan_reason::stale_input:
+        return "stale_input";
+    case plan_reason::balanced:
+        return "balanced";
+    case plan_reason::too_dear:
+        return "too_dear";
+    case plan_reason::no_budget:
+        return "no_budget";
+    case plan_reason::reweighted:
+        return "reweighted";
+    case plan_reason::moved:
+        return "moved";
+    }
+    return "unknown";
+}
+
+double move_seconds(double bytes)
+{
+    return bytes / store_bytes_per_second;
+}
+
+void planner::refill_budget(core::time_point now)
+{
+    if (options_.budget_bytes_per_hour <= 0) {
+        return;
+    }
+    if (!budget_at_) {
+        budget_bytes_ = options_.budget_bytes_per_hour;
+    }
+    else {
+        const double hours =
+            std::chrono::duration<double>(now - *budget_at_).count() / seconds_per_hour;
+        budget_bytes_ = std::min(options_.budget_bytes_per_hour,
+                                 budget_bytes_ + hours * options_.budget_bytes_per_hour);
+    }
+    budget_at_ = now;
+}
+
+// Weighted gain of a step over the present map less the weighted cost of its moves.
+double planner::net_of(double slowest_before, double slowest, double ideal, std::size_t moves) const
+{
+    const double span = std::chrono::duration<double>(horizon).count();
+    const double saved = (slowest_before - slowest) / ideal * span;
+    const double cost =
+        options_.move_weight * move_seconds(static_cast<double>(moves) * options_.replica_bytes);
+    return options_.skew_weight * saved - hysteresis * cost;
+}
+
+plan planner::make(const expert_map& present, const std::optional<popularity_estimate>& estimate,
+                   core::time_point now)
+{
+    plan result;
+    result.map = present;
+    if (!estimate || !validate(present, options_.shape).empty()) {
+        return result;
+    }
+    refill_budget(now);
+    const std::vector<double>& tokens = estimate->expert_share;
+    const double ideal = ideal_time(tokens, estimate->rank_speed, options_.shape.ranks);
+    result.skew_before = slowest_of(present, *estimate) / ideal;
+    result.skew_after = result.skew_before;
+
+    std::vector<search_step> steps = improve_step_by_step(
+        options_.shape, present, tokens, estimate->rank_speed, max_moves_considered);
+    const search_step reweighted = steps.front();
+    // A placement from nothing pays when popularity has changed altogether.
+    const bool far_off = steps.back().slowest > ideal * (1 + smallest_gain);
+    if (first_ || estimate->burst || far_off) {
+        const expert_map fresh =
+            match_ranks(place_from_scratch(options_.shape, tokens, estimate->rank_speed), present,
+                        estimate->rank_speed);
+        for (search_step& s : improve_step_by_step(
+                 options_.shape, fresh, tokens, estimate->rank_speed, max_moves_considered / 4)) {
+            s.moves = moved_replicas(present, s.map);
+            steps.push_back(std::move(s));
+        }
+    }
+    const search_step* best = &steps.front();
+    double best_net = 0;
+    bool over_budget = false;
+    for (const search_step& s : steps) {
+        const double net = net_of(reweighted.slowest, s.slowest, ideal, s.moves);
+        const double bytes = static_cast<double>(s.moves) * options_.replica_bytes;
+        const bool affordable =
+            options_.budget_bytes_per_hour <= 0 || first_ || bytes <= budget_bytes_;
+        over_budget = over_budget || (net > best_net && !affordable);
+        if (net > best_net && affordable) {
+            best = &s;
+            best_net = net;
+        }
+    }
+    const double gained = (reweighted.slowest - best->slowest) / ideal;
+    if (gained < smallest_gain) {
+        best = &steps.front();
+    }
+    first_ = false;
+    result.moved = best->moves;
+    result.moved_bytes = static_cast<double>(best->moves) * options_.replica_bytes;
+    result.skew_after = best->slowest / ideal;
+    result.gain = options_.skew_weight * (result.skew_before - result.skew_after) *
+                  std::chrono::duration<double>(horizon).count();
+    result.cost = options_.move_weight * move_seconds(result.moved_bytes);
+    if (result.moved > 0) {
+        result.reason = plan_reason::moved;
+        budget_bytes_ -= result.moved_bytes;
+    }
+    else if (result.skew_before - result.skew_after > smallest_gain / 4) {
+        result.reason = plan_reason::reweighted;
+    }
+    else {
+        const bool poor = steps.back().slowest < reweighted.slowest * (1 - smallest_gain);
+        result.reason = over_budget ? plan_reason::no_budget
+                        : poor      ? plan_reason::too_dear
+                                    : plan_reason::balanced;
+        return result;
+    }
+    result.map = best->map;
+    result.map.version = present.version.next();
+    return result;
+}
+
+} // namespace currantpitch::expertmaps
--- /dev/null
+++ b/src/expertmaps/tests/tst_fenceclaim.cpp
@@ -0,0 +1,55 @@
+#include "expertmaps/fenceclaim.h"
+#include "fakes/memoryplatform.h"
+
+#include "support/pausedrun.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+
+TEST_GROUP(fences)
+{
+    testing::paused_run run;
+    fakes::memory_platform store{run.executor()};
+
+    std::shared_ptr<core::result<core::fence>> claim(std::uint64_t nonce)
+    {
+        std::shared_ptr<core::result<core::fence>> outcome =
+            std::make_shared<core::result<core::fence>>(core::error{});
+        run.spawn([](fakes::memory_platform& s, std::uint64_t n,
+                     std::shared_ptr<core::result<core::fence>> out) -> core::task<void> {
+            const core::service_id group("g");
+            *out = co_await expertmaps::claim_fence(s, group, n);
+        }(store, nonce, outcome));
+        return outcome;
+    }
+};
+
+TEST(fences, two_claims_at_once_give_one_fence_each_or_a_conflict)
+{
+    store.faults.delay = 10ms;
+    const std::shared_ptr<core::result<core::fence>> a = claim(1);
+    const std::shared_ptr<core::result<core::fence>> b = claim(2);
+    run.advance(1s);
+    CHECK(a->has_value() != b->has_value());
+    const std::shared_ptr<core::result<core::fence>> c = claim(3);
+    run.advance(1s);
+    CHECK(c->value() == core::fence{2});
+}
+
+TEST(fences, lost_answer_is_recognised)
+{
+    store.faults.lose_answers = 1;
+    const std::shared_ptr<core::result<core::fence>> a = claim(1);
+    run.advance(5s);
+    CHECK(a->value() == core::fence{1});
+}
+
+TEST(fences, outage_claims_nothing)
+{
+    store.faults.away = true;
+    const std::shared_ptr<core::result<core::fence>> a = claim(1);
+    run.advance(5s);
+    CHECK(a->error().code == core::errc::unavailable);
+}
--- a/tests/fakes/enginegroup.cpp
+++ b/tests/fakes/enginegroup.cpp
@@ -50,7 +50,9 @@
 bool engine_group::held() const
 {
     for (const engine_rank& rank : ranks) {
-        if (rank.prepared && !rank.prepared->committed && rank.prepared->step <= step + 1) {
+        const bool undecided =
+            rank.prepared && !rank.prepared->committed && rank.prepared->step <= step + 1;
+        if (undecided || rank.fresh) {
             return true;
         }
     }
@@ -125,8 +127,7 @@
     const std::uint64_t incarnation = ranks[rank].incarnation;
     if (prompt.find("crash-the-engine") != std::string::npos) {
         ++crashes;
-        ++ranks[rank].incarnation;
-        ranks[rank].dead_until = core::runtime_clock::now() + options_.restart_time;
+        kill(rank);
         connection.close();
         co_return;
     }
@@ -156,6 +157,20 @@
     co_await connection.end_stream();
 }
 
+void engine_group::kill(std::size_t index)
+{
+    engine_rank& rank = ranks[index];
+    ++rank.incarnation;
+    rank.dead_until = core::runtime_clock::now() + options_.restart_time;
+    rank.running = 0;
+    rank.expert_tokens.assign(options_.experts, 0);
+    if (options_.ranks_lose_state) {
+        rank.fresh = true;
+        rank.staged_map.reset();
+        rank.prepared.reset();
+    }
+}
+
 std::pair<unsigned, std::string> engine_group::order(std::size_t index, const std::string& body)
 {
     engine_rank& rank = ranks[index];
@@ -189,6 +204,15 @@
         }
         rank.prepared.reset();
     }
+    else if (what == "adopt") {
+        rank.fresh = false;
+        rank.active_map = version;
+        const std::uint64_t next = number_in(wanted, "next_version", 0);
+        if (next != 0) {
+            rank.prepared =
+                engine_rank::prepared_map{next, number_in(wanted, "next_step", 0), true};
+        }
+    }
     else {
         return {400, "unknown order"};
     }
@@ -200,8 +224,13 @@
     const engine_rank& rank = ranks[index];
     const std::chrono::nanoseconds own_time(static_cast<std::int64_t>(
         static_cast<double>(std::chrono::nanoseconds(options_.step_time).count()) * rank.slowness));
+    const engine_rank::prepared_map prepared = rank.prepared.value_or(engine_rank::prepared_map{});
     return json::serialize(json::object{
         {"incarnation", std::to_string(rank.incarnation)},
+        {"fresh", rank.fresh},
+        {"prepared_version", prepared.version},
+        {"prepared_step", prepared.step},
+        {"prepared_committed", prepared.committed},
         {"running", rank.running},
         {"age_ms", options_.report_lag.count()},
         {"step", step},
--- a/tests/fakes/enginegroup.h
+++ b/tests/fakes/enginegroup.h
@@ -22,6 +22,8 @@
     std::chrono::milliseconds restart_time{700};
     /// Age of the figures in status reports.
     std::chrono::milliseconds report_lag{50};
+    /// A rank that died waits for an adopt order before it goes on.
+    bool ranks_lose_state = true;
 };
 
 /// One rank of a group and what it has been ordered.
@@ -36,6 +38,8 @@
         bool committed = false;
     };
     std::optional<prepared_map> prepared;
+    /// The rank died and waits for its group's state.
+    bool fresh = false;
     std::uint64_t highest_fence = 0;
     std::uint64_t running = 0;
     std::vector<double> expert_tokens;
@@ -59,6 +63,8 @@
     /// Carries out an order and returns the status and text of the answer.
     std::pair<unsigned, std::string> order(std::size_t rank, const std::string& body);
     std::string status(std::size_t rank) const;
+    /// Ends the process of a rank: its streams break and its state is lost.
+    void kill(std::size_t rank);
 
     std::vector<engine_rank> ranks;
     std::uint64_t step = 0;
