Add the decision benchmark; borrowed work leaves slots; popularity's weight follows from the data

Change: agents refuse borrowed work beyond 85 % of their slots; the weight of a sample follows from the differences of samples over one and two intervals; a burst replaces the mean; entry sets sort only what is needed.

--- /dev/null
+++ b/bench/decisions/ledgerbench.cpp
@@ -0,0 +1,102 @@
+#include "decisions/ledgerbench.h"
+
+#include "actions/ledgerowner.h"
+#include "fakes/memoryplatform.h"
+
+#include <deque>
+#include <iostream>
+
+namespace currantpitch::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+using owner_type = actions::ledger_owner<fakes::memory_platform>;
+
+constexpr std::chrono::milliseconds platform_delay = 5ms;
+constexpr std::chrono::milliseconds action_time = 300ms;
+constexpr std::chrono::seconds run_time = 8s;
+
+struct ledger_run {
+    core::asio::io_context context{1};
+    fakes::memory_platform store{context.get_executor()};
+    owner_type owner;
+    std::vector<double> claim_ms;
+
+    explicit ledger_run(std::uint64_t seed) : owner(store, context.get_executor(), 0, seed) {}
+
+    void advance(core::duration d)
+    {
+        core::advance(d, [this] {
+            context.restart();
+            context.poll();
+        });
+    }
+    void start(actions::ledger_operation operation, bool timed)
+    {
+        core::spawn(context.get_executor(),
+                    [](ledger_run& run, actions::ledger_operation o, bool t) -> core::task<void> {
+                        const core::time_point begun = core::runtime_clock::now();
+                        const core::result<actions::ledger_answer> answer =
+                            co_await run.owner.carry_out(std::move(o), begun + 30s);
+                        if (t && answer) {
+                            run.claim_ms.push_back(std::chrono::duration<double, std::milli>(
+                                                       core::runtime_clock::now() - begun)
+                                                       .count());
+                        }
+                    }(*this, std::move(operation), timed));
+    }
+};
+
+void add_rate(bench_report& report, int rate, std::uint64_t seed)
+{
+    core::runtime_clock::pause();
+    {
+        ledger_run run(seed);
+        run.store.faults.delay = platform_delay;
+        const core::duration gap = std::chrono::duration_cast<core::duration>(1s) / rate;
+        const int actions = rate * static_cast<int>(run_time.count());
+        std::deque<std::pair<core::time_point, actions::claim_operation>> to_finish;
+        for (int i = 0; i < actions; ++i) {
+            actions::claim_operation c;
+            c.id = actions::action_id("action-" + std::to_string(i) + "-0123456789abcdef");
+            c.fingerprint = actions::action_fingerprint("0123456789abcdef0123456789abcdef");
+            c.issued_at = core::runtime_clock::wall_now();
+            c.attempt.number = core::attempt_number{static_cast<std::uint64_t>(i)};
+            c.agent = core::host_id("agent-1");
+            run.start(c, true);
+            to_finish.emplace_back(core::runtime_clock::now() + action_time, c);
+            run.advance(gap);
+            while (!to_finish.empty() &&
+                   to_finish.front().first <= core::runtime_clock::now()) {
+                const actions::claim_operation& done = to_finish.front().second;
+                run.start(actions::finish_operation{done.id, done.attempt, 200, "text/plain",
+                                                    "booked", true},
+                          false);
+                to_finish.pop_front();
+            }
+        }
+        run.advance(5s);
+        const double writes = static_cast<double>(run.store.calls["ledger_write"]);
+        report.add({std::to_string(rate), std::to_string(actions), figure(writes / actions, 4),
+                    figure(writes / static_cast<double>(run_time.count()), 1),
+                    figure(percentile(run.claim_ms, 0.5), 1),
+                    figure(percentile(run.claim_ms, 0.99), 1)});
+    }
+    core::runtime_clock::resume();
+}
+
+} // namespace
+
+bench_report run_ledger(std::uint64_t seed)
+{
+    bench_report report({"actions_per_second", "actions", "writes_per_action",
+                         "writes_per_second", "claim_ms_p50", "claim_ms_p99"});
+    for (const int rate : {1, 10, 50, 100, 200}) {
+        std::cerr << "progress rate=" << rate << "\n";
+        add_rate(report, rate, seed);
+    }
+    return report;
+}
+
+} // namespace currantpitch::bench
--- /dev/null
+++ b/bench/decisions/main.cpp
@@ -0,0 +1,72 @@
+#include "core/eventlog.h"
+#include "decisions/balancebench.h"
+#include "decisions/disseminationbench.h"
+#include "decisions/entrysetsbench.h"
+#include "decisions/fairnessbench.h"
+#include "decisions/ledgerbench.h"
+#include "decisions/poptrace.h"
+#include "decisions/routingbench.h"
+#include "decisions/slopesbench.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+using namespace currantpitch;
+
+namespace {
+
+bench::report_format format_from(const std::string& text)
+{
+    if (text == "json") {
+        return bench::report_format::json;
+    }
+    return text == "csv" ? bench::report_format::csv : bench::report_format::table;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("currantpitch-bench drives the product's decision code with seeded traces and "
+                 "prints figures. Progress goes to the error output.");
+    std::uint64_t seed = 1;
+    std::string format = "table";
+    app.add_option("--seed", seed, "First seed");
+    app.add_option("-o,--output", format, "Output format")
+        ->check(CLI::IsMember({"table", "json", "csv"}));
+    app.require_subcommand(1);
+    app.fallthrough();
+    const auto add = [&app, &seed, &format](const char* name, const char* help, auto run) {
+        app.add_subcommand(name, help)->callback([&seed, &format, run] {
+            run(seed).print(std::cout, format_from(format));
+        });
+    };
+    bench::balance_options balance;
+    CLI::App* const balance_command =
+        app.add_subcommand("balance", "Expert maps: policies over popularity traces");
+    balance_command->add_option("--trace", balance.trace, "Trace")
+        ->check(CLI::IsMember(bench::trace_names()));
+    balance_command->add_option("--ranks", balance.ranks, "Ranks of the group");
+    balance_command->add_option("--experts", balance.experts, "Experts of a layer");
+    balance_command->add_option("--slots", balance.slots, "Slots of a rank; 0 for two to spare");
+    balance_command->add_option("--weights", balance.weights, "Whose weights")
+        ->check(CLI::IsMember({"mali-koderi", "kowalczyk"}));
+    balance_command->add_option("--seeds", balance.seeds, "Number of seeds");
+    balance_command->add_option("--replica-bytes", balance.replica_bytes, "Size of a replica");
+    balance_command->add_option("--plot", balance.plot, "SVG file for the first seed's skew");
+    balance_command->callback([&balance, &seed, &format] {
+        bench::run_balance(balance, seed).print(std::cout, format_from(format));
+    });
+    add("routing", "Choice of endpoints: cost and quality", bench::run_routing);
+    add("entry-sets", "Entries of a workspace: moves, cost, failure domains",
+        bench::run_entry_sets);
+    add("fairness", "Shares under a flood and after the loss of a failure domain",
+        bench::run_fairness);
+    add("ledger", "Platform writes for each keyed call", bench::run_ledger);
+    add("dissemination", "Time until a change is in force everywhere", bench::run_dissemination);
+    add("slopes", "Memory and time of each kind of state against its number", bench::run_slopes);
+    core::silence_log();
+    CLI11_PARSE(app, argc, argv);
+    return 0;
+}
--- /dev/null
+++ b/bench/decisions/routingbench.cpp
@@ -0,0 +1,229 @@
+#include "decisions/routingbench.h"
+
+#include "core/hashing.h"
+#include "decisions/stopwatch.h"
+#include "routing/endpointpool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <random>
+
+namespace currantpitch::bench {
+
+namespace {
+
+constexpr std::size_t steps = 4000;
+constexpr std::uint32_t concurrency = 16;
+constexpr std::size_t service_steps = 40;
+constexpr std::size_t report_every = 25;
+constexpr double utilization = 0.6;
+constexpr std::size_t prefixes_per_endpoint = 20;
+constexpr std::size_t cached_prefixes = 40;
+constexpr double prefix_exponent = 0.8;
+const core::time_point start{std::chrono::hours(1)};
+
+core::time_point time_of(std::size_t step)
+{
+    return start + std::chrono::milliseconds(20) * static_cast<int>(step);
+}
+
+/// What a run showed of a policy.
+struct routing_figures {
+    std::vector<double> busiest;
+    double hits = 0;
+    double requests = 0;
+};
+
+/// Endpoints with requests of a fixed length, and a bounded set of cached prefixes each.
+class endpoint_model {
+public:
+    explicit endpoint_model(std::size_t count) : running_(count, 0), cached_(count) {}
+
+    void start(std::size_t endpoint, std::uint64_t prefix, std::size_t step, routing_figures& f)
+    {
+        ++running_[endpoint];
+        ending_[step + service_steps].push_back(endpoint);
+        std::deque<std::uint64_t>& cache = cached_[endpoint];
+        const bool hit = std::find(cache.begin(), cache.end(), prefix) != cache.end();
+        f.hits += hit ? 1 : 0;
+        f.requests += 1;
+        if (!hit) {
+            cache.push_back(prefix);
+        }
+        if (cache.size() > cached_prefixes) {
+            cache.pop_front();
+        }
+    }
+    std::vector<std::size_t> end(std::size_t step)
+    {
+        std::vector<std::size_t> ended = std::move(ending_[step]);
+        ending_.erase(step);
+        for (const std::size_t endpoint : ended) {
+            --running_[endpoint];
+        }
+        return ended;
+    }
+    const std::vector<std::uint32_t>& running() const { return running_; }
+
+private:
+    std::vector<std::uint32_t> running_;
+    std::vector<std::deque<std::uint64_t>> cached_;
+    std::map<std::size_t, std::vector<std::size_t>> ending_;
+};
+
+core::endpoint_id name_of(std::size_t i)
+{
+    return core::endpoint_id("e" + std::to_string(i));
+}
+
+/// The product's pool.
+class pool_policy {
+public:
+    pool_policy(std::size_t count, std::uint64_t seed) : pool_(seed)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            index_[name_of(i)] = i;
+        }
+    }
+    void report(const std::vector<std::uint32_t>& running, core::time_point at)
+    {
+        for (std::size_t i = 0; i < running.size(); ++i) {
+            routing::endpoint_state s;
+            s.endpoint = name_of(i);
+            s.concurrency = concurrency;
+            s.usable = true;
+            s.report = routing::reported_load{running[i], at};
+            pool_.update(std::move(s));
+        }
+    }
+    std::size_t choose(std::uint64_t prefix, core::time_point now)
+    {
+        const std::optional<routing::choice> c = pool_.choose({prefix, {}, false}, now);
+        pool_.started(c->endpoint);
+        return index_.at(c->endpoint);
+    }
+    void ended(std::size_t endpoint) { pool_.finished(name_of(endpoint)); }
+
+private:
+    routing::endpoint_pool pool_;
+    std::map<core::endpoint_id, std::size_t> index_;
+};
+
+/// Any endpoint.
+class random_policy {
+public:
+    random_policy(std::size_t count, std::uint64_t seed) : count_(count), random_(seed) {}
+    void report(const std::vector<std::uint32_t>&, core::time_point) {}
+    std::size_t choose(std::uint64_t, core::time_point) { return random_() % count_; }
+    void ended(std::size_t) {}
+
+private:
+    std::size_t count_;
+    std::mt19937_64 random_;
+};
+
+/// The endpoint with the least reported load.
+class least_reported_policy {
+public:
+    least_reported_policy(std::size_t count, std::uint64_t) : reported_(count, 0) {}
+    void report(const std::vector<std::uint32_t>& running, core::time_point)
+    {
+        reported_ = running;
+    }
+    std::size_t choose(std::uint64_t, core::time_point)
+    {
+        return static_cast<std::size_t>(
+            std::min_element(reported_.begin(), reported_.end()) - reported_.begin());
+    }
+    void ended(std::size_t) {}
+
+private:
+    std::vector<std::uint32_t> reported_;
+};
+
+template <class Policy>
+routing_figures run_policy(std::size_t count, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    Policy policy(count, seed);
+    endpoint_model endpoints(count);
+    routing_figures figures;
+    std::vector<double> popularity(count * prefixes_per_endpoint);
+    for (std::size_t i = 0; i < popularity.size(); ++i) {
+        popularity[i] = 1 / std::pow(static_cast<double>(i) + 1, prefix_exponent);
+    }
+    std::discrete_distribution<std::size_t> prefix(popularity.begin(), popularity.end());
+    const double per_step = utilization * concurrency * static_cast<double>(count) / service_steps;
+    std::poisson_distribution<int> arrivals(per_step);
+    policy.report(endpoints.running(), time_of(0));
+    for (std::size_t step = 0; step < steps; ++step) {
+        for (const std::size_t endpoint : endpoints.end(step)) {
+            policy.ended(endpoint);
+        }
+        if (step % report_every == 0) {
+            policy.report(endpoints.running(), time_of(step));
+        }
+        const int wanted = arrivals(random);
+        for (int i = 0; i < wanted; ++i) {
+            const std::uint64_t key = core::hash64("prefix", prefix(random));
+            endpoints.start(policy.choose(key, time_of(step)), key, step, figures);
+        }
+        const std::vector<std::uint32_t>& running = endpoints.running();
+        double total = 0;
+        for (const std::uint32_t r : running) {
+            total += r;
+        }
+        if (step > 200 && total > 0) {
+            figures.busiest.push_back(*std::max_element(running.begin(), running.end()) * 
+                                      static_cast<double>(count) / total);
+        }
+    }
+    return figures;
+}
+
+/// Mean time of one choice at so many endpoints.
+double choice_ns(std::size_t count, std::uint64_t seed)
+{
+    pool_policy policy(count, seed);
+    std::mt19937_64 random(seed);
+    std::vector<std::uint32_t> running(count);
+    for (std::uint32_t& r : running) {
+        r = static_cast<std::uint32_t>(random() % concurrency);
+    }
+    policy.report(running, time_of(0));
+    constexpr int choices = 200000;
+    const stopwatch watch;
+    for (int i = 0; i < choices; ++i) {
+        policy.ended(policy.choose(random(), time_of(1)));
+    }
+    return watch.nanoseconds() / choices;
+}
+
+void add_row(bench_report& report, const std::string& name, std::size_t count,
+             const routing_figures& f, const std::string& cost)
+{
+    report.add({std::to_string(count), name, figure(percentile(f.busiest, 0.5), 2),
+                figure(percentile(f.busiest, 0.95), 2), figure(f.hits / f.requests, 3), cost});
+}
+
+} // namespace
+
+bench_report run_routing(std::uint64_t seed)
+{
+    bench_report report({"endpoints", "policy", "busiest_to_mean_p50", "busiest_to_mean_p95",
+                         "prefix_hits", "choice_ns"});
+    for (const std::size_t count : {12U, 100U, 1000U}) {
+        std::cerr << "progress endpoints=" << count << "\n";
+        add_row(report, "random", count, run_policy<random_policy>(count, seed), "-");
+        add_row(report, "least-reported", count, run_policy<least_reported_policy>(count, seed),
+                "-");
+        add_row(report, "pool", count, run_policy<pool_policy>(count, seed),
+                figure(choice_ns(count, seed), 0));
+    }
+    return report;
+}
+
+} // namespace currantpitch::bench
--- a/src/endpoints/endpointgate.cpp
+++ b/src/endpoints/endpointgate.cpp
@@ -1,5 +1,7 @@
 #include "endpoints/endpointgate.h"
 
+#include "endpoints/endpointsconstants.h"
+
 namespace currantpitch::endpoints {
 
 std::optional<std::string_view> endpoint_gate::refusal(const sessions::start_work& work) const
@@ -13,6 +15,9 @@
     if (running_ >= concurrency_) {
         return "busy";
     }
+    if (work.borrowed && running_ + 1 > concurrency_ * borrow_limit) {
+        return "no_slot_to_borrow";
+    }
     if (work.isolated && isolated_ > 0) {
         return "isolated";
     }
--- a/src/endpoints/endpointsconstants.h
+++ b/src/endpoints/endpointsconstants.h
@@ -13,6 +13,9 @@
 inline constexpr std::chrono::milliseconds poll_timeout{1000};
 /// Longest time for one call of a plain service when the request names none.
 inline constexpr std::chrono::seconds longest_call{60};
+/// Part of the slots that work beyond its workspace's own part may fill. The rest is kept for work
+/// within it, which must not wait for borrowed slots to come back.
+inline constexpr double borrow_limit = 0.85;
 /// Time after which a refusal for lack of slots suggests to try again.
 inline constexpr std::chrono::milliseconds busy_retry_after{50};
 
--- a/src/endpoints/tests/tst_endpoints.cpp
+++ b/src/endpoints/tests/tst_endpoints.cpp
@@ -47,6 +47,24 @@
     CHECK(gate.refusal(work) == "busy");
 }
 
+TEST(gate_rules, borrowed_work_leaves_slots_for_the_others)
+{
+    endpoint_gate gate;
+    gate.set_concurrency(10);
+    gate.set_healthy(true);
+    sessions::start_work work;
+    work.borrowed = true;
+    int started = 0;
+    while (!gate.refusal(work)) {
+        gate.started(work);
+        ++started;
+    }
+    LONGS_EQUAL(8, started);
+    CHECK(gate.refusal(work) == "no_slot_to_borrow");
+    work.borrowed = false;
+    CHECK(!gate.refusal(work).has_value());
+}
+
 TEST_GROUP(engine_protocol){};
 
 TEST(engine_protocol, arbitrary_records_are_refused)
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -252,7 +252,7 @@
     return request;
 }
 
-core::task<core::result<void>> caller_front::admit(const checked_request& request,
+core::task<core::result<admission::admission_kind>> caller_front::admit(const checked_request& request,
                                                    http::response& refusal)
 {
     service_state& service = context_.service(request.service);
@@ -273,7 +273,7 @@
         co_return core::error{core::errc::refused, std::string(answer.reason)};
     }
     if (answer.kind != admission::admission_kind::waiting) {
-        co_return core::ok();
+        co_return answer.kind;
     }
     const std::shared_ptr<admission_wait> wait =
         std::make_shared<admission_wait>(context_.executor);
@@ -285,7 +285,7 @@
         refusal = not_run_answer(429, "deadline", stopping_retry_after);
         co_return core::error{core::errc::refused, "deadline"};
     }
-    co_return core::ok();
+    co_return *wait->granted;
 }
 
 void caller_front::settle_waits()
@@ -342,11 +342,12 @@
         co_await connection.reply(std::move(answer));
         co_return;
     }
-    const core::result<void> admitted = co_await admit(checked.value(), refusal);
+    const core::result<admission::admission_kind> admitted = co_await admit(checked.value(), refusal);
     if (!admitted) {
         co_await connection.reply(std::move(refusal));
         co_return;
     }
+    request.borrowed = admitted.value() == admission::admission_kind::borrowed;
     {
         const admitted_slot slot(context_, request.service, request.workspace);
         generation work(context_, agents_, sharing_, connection, std::move(request));
@@ -378,7 +379,7 @@
     request.key = received.header_value("Idempotency-Key").value_or("");
     request.issued_at = core::wall_time(std::chrono::milliseconds(
         number_or(received.header_value("Idempotency-Issued-At"), now.time_since_epoch().count())));
-    const core::result<void> admitted = co_await admit(checked.value(), refusal);
+    const core::result<admission::admission_kind> admitted = co_await admit(checked.value(), refusal);
     if (!admitted) {
         co_await connection.reply(std::move(refusal));
         co_return;
--- a/src/entry/entryconstants.h
+++ b/src/entry/entryconstants.h
@@ -13,7 +13,7 @@
 /// Interval of the entry's regular work: grants, expiries, findings, demand.
 inline constexpr std::chrono::milliseconds tick_interval{50};
 /// Interval of the demand reports and statuses to peers.
-inline constexpr std::chrono::milliseconds report_interval{500};
+inline constexpr std::chrono::milliseconds report_interval{1000};
 /// Wait before another endpoint is tried when none could take the work.
 inline constexpr std::chrono::milliseconds no_endpoint_delay{50};
 /// Most entries over which demand is passed on beyond direct peers.
--- a/src/entry/generation.cpp
+++ b/src/entry/generation.cpp
@@ -84,6 +84,7 @@
     work.resume_from = progress_.delivered();
     work.window = sessions::token_window;
     work.isolated = isolated;
+    work.borrowed = request_.borrowed;
     work.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
         request_.deadline - core::runtime_clock::now());
     core::result<std::shared_ptr<sessions::attempt_channel>> channel = link->start(std::move(work));
--- a/src/entry/generation.h
+++ b/src/entry/generation.h
@@ -15,6 +15,8 @@
     std::uint64_t prefix = 0;
     admission::fingerprint fingerprint;
     core::time_point deadline;
+    /// Admitted beyond the workspace's own part.
+    bool borrowed = false;
 };
 
 /// Tells other entries about crashes and clearances.
--- a/src/expertmaps/expertmapsconstants.h
+++ b/src/expertmaps/expertmapsconstants.h
@@ -30,13 +30,17 @@
 /// Rate at which one rank takes weights in from the store, in bytes a second.
 inline constexpr double store_bytes_per_second = 1e9;
 
-/// Weight of the newest sample in the slow and the fast mean of popularity.
-inline constexpr double slow_weight = 0.15;
-inline constexpr double fast_weight = 0.7;
-/// Distance of the two means (half the sum of differences) from which the fast one counts.
-inline constexpr double burst_distance = 0.10;
-/// Weight of the newest sample in a rank's speed.
+/// Weight of a sample before noise and drift can be told apart, and the least later.
+inline constexpr double first_weight = 0.5;
+inline constexpr double least_weight = 0.1;
+/// Weight of the newest differences between samples in their mean.
+inline constexpr double difference_weight = 0.15;
+/// Distance of a sample from the mean (half the sum of differences) from which it is a burst.
+inline constexpr double burst_distance = 0.08;
+/// Weight of the newest sample in a rank's speed, and its weight after a jump.
 inline constexpr double speed_weight = 0.3;
+inline constexpr double speed_jump = 0.15;
+inline constexpr double jump_weight = 0.9;
 /// Age above which a report is not used, and above which no plan is made.
 inline constexpr std::chrono::seconds report_lifetime{30};
 /// Date in the future up to which a report is used.
--- a/src/expertmaps/popularity.cpp
+++ b/src/expertmaps/popularity.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace currantpitch::expertmaps {
 
@@ -35,10 +36,19 @@
     return sum / 2;
 }
 
+double squared_distance(const std::vector<double>& a, const std::vector<double>& b)
+{
+    double sum = 0;
+    for (std::size_t i = 0; i < a.size(); ++i) {
+        sum += (a[i] - b[i]) * (a[i] - b[i]);
+    }
+    return sum;
+}
+
 } // namespace
 
 popularity_tracker::popularity_tracker(std::size_t experts, std::size_t ranks)
-    : slow_(experts, 0), fast_(experts, 0), speeds_(ranks, 1)
+    : mean_(experts, 0), speeds_(ranks, 1)
 {
 }
 
@@ -47,7 +57,7 @@
     const bool ranks_fit =
         sample.rank_tokens.size() == sample.rank_step_times.size() &&
         (sample.rank_tokens.empty() || sample.rank_tokens.size() == speeds_.size());
-    if (sample.expert_tokens.size() != slow_.size() || !ranks_fit) {
+    if (sample.expert_tokens.size() != mean_.size() || !ranks_fit) {
         return error{errc::malformed, "the report does not have the group's size"};
     }
     if (!plausible(sample.expert_tokens) || !plausible(sample.rank_tokens)) {
@@ -86,16 +96,41 @@
         s /= total;
     }
     if (!last_) {
-        slow_ = share;
-        fast_ = share;
+        mean_ = share;
+        previous_ = share;
         return;
     }
-    follow(slow_, share, slow_weight);
-    follow(fast_, share, fast_weight);
-    burst_ = distance(slow_, fast_) > burst_distance;
+    burst_ = distance(mean_, share) > burst_distance;
+    const double weight = burst_ ? 1 : weight_of_newest(share);
+    follow(mean_, share, weight);
     if (burst_) {
-        slow_ = fast_;
+        // What differed across the burst says nothing of noise and drift.
+        before_previous_.clear();
+        previous_ = std::move(share);
+        return;
     }
+    before_previous_ = std::exchange(previous_, std::move(share));
+}
+
+// The gain of a filter for a mean that drifts at random and is seen with noise. The difference of
+// two samples is the drift of the intervals between them plus twice the noise.
+double popularity_tracker::weight_of_newest(const std::vector<double>& share)
+{
+    const double one = squared_distance(share, previous_);
+    if (before_previous_.empty()) {
+        return first_weight;
+    }
+    const double two = squared_distance(share, before_previous_);
+    const bool begun = over_two_ > 0;
+    over_one_ += (begun ? difference_weight : 1) * (one - over_one_);
+    over_two_ += (begun ? difference_weight : 1) * (two - over_two_);
+    const double drift = std::max(over_two_ - over_one_, 0.0);
+    const double noise = std::max((over_one_ - drift) / 2, 0.0);
+    if (noise <= 0) {
+        return 1;
+    }
+    const double spread = (drift + std::sqrt(drift * drift + 4 * drift * noise)) / 2;
+    return std::clamp(spread / (spread + noise), least_weight, 1.0);
 }
 
 void popularity_tracker::follow_speeds(const group_sample& sample)
@@ -117,7 +152,8 @@
     const double median = sorted[sorted.size() / 2];
     for (std::size_t i = 0; i < rates.size(); ++i) {
         const double relative = std::clamp(rates[i] / median, 0.05, 4.0);
-        speeds_[i] += speed_weight * (relative - speeds_[i]);
+        const double off = relative - speeds_[i];
+        speeds_[i] += (std::abs(off) > speed_jump ? jump_weight : speed_weight) * off;
     }
 }
 
@@ -126,7 +162,7 @@
     if (!last_ || now - *last_ > report_lifetime) {
         return std::nullopt;
     }
-    popularity_estimate e{slow_, speeds_, burst_, *last_};
+    popularity_estimate e{mean_, speeds_, burst_, *last_};
     const double total = std::accumulate(e.expert_share.begin(), e.expert_share.end(), 0.0);
     if (total <= 0) {
         return std::nullopt;
--- a/src/expertmaps/popularity.h
+++ b/src/expertmaps/popularity.h
@@ -33,9 +33,11 @@
     core::time_point at;
 };
 
-/// Smooths popularity and rank speeds. Two means follow the samples; when the fast one has left
-/// the slow one far behind, popularity has changed at once. A rank that is slow for its load is a
-/// slow host; a rank that has much load is not.
+/// Smooths popularity and rank speeds. The weight of a new sample follows from the samples: where
+/// they differ no more over two intervals than over one, the difference is noise and the weight is
+/// low; where it grows with time, popularity drifts and the weight is high. A sample far from the
+/// mean shows a burst and replaces it. A rank that is slow for its load is a slow host; a rank that
+/// has much load is not.
 class popularity_tracker {
 public:
     popularity_tracker(std::size_t experts, std::size_t ranks);
@@ -53,8 +55,15 @@
     void follow_popularity(const std::vector<double>& tokens);
     void follow_speeds(const group_sample& sample);
 
-    std::vector<double> slow_;
-    std::vector<double> fast_;
+    double weight_of_newest(const std::vector<double>& share);
+
+    std::vector<double> mean_;
+    /// The last two samples, newest first.
+    std::vector<double> previous_;
+    std::vector<double> before_previous_;
+    /// Smoothed squared differences over one and over two intervals.
+    double over_one_ = 0;
+    double over_two_ = 0;
     std::vector<double> speeds_;
     bool burst_ = false;
     std::optional<core::time_point> last_;
--- a/src/intents/intentsconstants.h
+++ b/src/intents/intentsconstants.h
@@ -14,9 +14,9 @@
 inline constexpr std::size_t max_tombstones = 4096;
 
 /// Time after which changes that a peer has not confirmed are sent again.
-inline constexpr std::chrono::milliseconds resend_interval{600};
+inline constexpr std::chrono::milliseconds resend_interval{1200};
 /// Interval of the statuses between peers.
-inline constexpr std::chrono::milliseconds status_interval{500};
+inline constexpr std::chrono::milliseconds status_interval{1000};
 /// Relays in each failure domain, which watch the platform for the others.
 inline constexpr std::size_t relays_per_failure_domain = 2;
 /// Time without any relay after which a process watches the platform itself.
--- a/src/membership/entryset.cpp
+++ b/src/membership/entryset.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
+#include <unordered_map>
 
 namespace currantpitch::membership {
 
@@ -13,11 +13,14 @@
 
 struct ranked_entry {
     std::uint64_t rank = 0;
-    /// Position within its failure domain, best first.
-    std::size_t round = 0;
     const entry_candidate* candidate = nullptr;
 };
 
+bool ranks_higher(const ranked_entry& a, const ranked_entry& b)
+{
+    return a.rank != b.rank ? a.rank > b.rank : a.candidate->host < b.candidate->host;
+}
+
 } // namespace
 
 std::size_t entry_count(std::size_t asked_for, double share, double total_share,
@@ -37,24 +40,30 @@
                                           std::size_t count)
 {
     const std::uint64_t seed = core::hash64(workspace.str());
-    std::vector<ranked_entry> ranked;
-    ranked.reserve(candidates.size());
+    std::unordered_map<core::failure_domain_id, std::vector<ranked_entry>> domains;
     for (const entry_candidate& c : candidates) {
-        ranked.push_back({core::hash64(c.host.str(), seed), 0, &c});
+        domains[c.failure_domain].push_back({core::hash64(c.host.str(), seed), &c});
     }
-    std::sort(ranked.begin(), ranked.end(), [](const ranked_entry& a, const ranked_entry& b) {
-        return a.rank != b.rank ? a.rank > b.rank : a.candidate->host < b.candidate->host;
-    });
-    std::map<core::failure_domain_id, std::size_t> taken;
-    for (ranked_entry& r : ranked) {
-        r.round = taken[r.candidate->failure_domain]++;
+    // The best of each failure domain come first, then the second best of each, and so on.
+    std::vector<std::vector<ranked_entry>> rounds;
+    for (std::pair<const core::failure_domain_id, std::vector<ranked_entry>>& domain : domains) {
+        std::vector<ranked_entry>& entries = domain.second;
+        const std::size_t needed = std::min(count, entries.size());
+        std::partial_sort(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(needed),
+                          entries.end(), ranks_higher);
+        rounds.resize(std::max(rounds.size(), needed));
+        for (std::size_t i = 0; i < needed; ++i) {
+            rounds[i].push_back(entries[i]);
+        }
     }
-    std::stable_sort(
-        ranked.begin(), ranked.end(),
-        [](const ranked_entry& a, const ranked_entry& b) { return a.round < b.round; });
     std::vector<core::host_id> chosen;
-    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i) {
-        chosen.push_back(ranked[i].candidate->host);
+    for (std::vector<ranked_entry>& round : rounds) {
+        std::sort(round.begin(), round.end(), ranks_higher);
+        for (const ranked_entry& r : round) {
+            if (chosen.size() < count) {
+                chosen.push_back(r.candidate->host);
+            }
+        }
     }
     return chosen;
 }
--- a/src/sessions/sessionmessages.h
+++ b/src/sessions/sessionmessages.h
@@ -61,12 +61,14 @@
     std::chrono::milliseconds time_left{};
     /// Refuse rather than run beside another isolated request.
     bool isolated = false;
+    /// The workspace is beyond its own part: refuse when few slots are left.
+    bool borrowed = false;
 };
 template <class Archive>
 void describe(Archive& archive, start_work& m)
 {
     archive(m.number, m.kind, m.workspace, m.body, m.method, m.path, m.resume_from, m.window,
-            m.time_left, m.isolated);
+            m.time_left, m.isolated, m.borrowed);
 }
 
 /// The caller no longer wants the answer. A call that has started is not stopped.
