--- a/bench/decisions/balancebench.cpp
+++ b/bench/decisions/balancebench.cpp
@@ -40,9 +40,14 @@
 
 /// A policy plans before a period, from what was reported up to the one before.
 template <class P>
-concept balance_policy = requires(P& p, const trace& t, std::size_t period) {
-    { p.plan(t, period) } -> std::same_as<void>;
-    { p.map() } -> std::same_as<const expert_map&>;
+concept balance_policy = requires(P& p, const trace& t, std::size_t period)
+{
+    {
+        p.plan(t, period)
+        } -> std::same_as<void>;
+    {
+        p.map()
+        } -> std::same_as<const expert_map&>;
 };
 
 /// The map that knows nothing of popularity, for ever.
@@ -144,8 +149,7 @@
         sample.at = time_of(period);
         sample.expert_tokens = past.reported_tokens;
         sample.rank_tokens = rank_times(map_, past.reported_tokens, {});
-        const std::vector<double> seconds =
-            rank_times(map_, past.reported_tokens, past.rank_speed);
+        const std::vector<double> seconds = rank_times(map_, past.reported_tokens, past.rank_speed);
         for (const double s : seconds) {
             sample.rank_step_times.push_back(
                 std::chrono::nanoseconds(static_cast<std::int64_t>(s)));
@@ -175,8 +179,8 @@
 };
 
 template <balance_policy Policy>
-void run_policy(Policy& p, const trace& t, const balance_options& options,
-                policy_figures& figures, std::vector<double>& line)
+void run_policy(Policy& p, const trace& t, const balance_options& options, policy_figures& figures,
+                std::vector<double>& line)
 {
     const policy_weights weights = weights_of(options.weights);
     expert_map before = p.map();
@@ -200,14 +204,14 @@
         figures.objective += weights.skew * skew_seconds + weights.move * move_seconds(bytes);
         waiting_since = now.event ? std::optional(period) : waiting_since;
         if (waiting_since && skew < recovered_skew) {
-            figures.slowest_recovery = std::max(
-                figures.slowest_recovery, static_cast<double>(period - *waiting_since));
+            figures.slowest_recovery =
+                std::max(figures.slowest_recovery, static_cast<double>(period - *waiting_since));
             waiting_since.reset();
         }
     }
     if (waiting_since) {
-        figures.slowest_recovery = std::max(
-            figures.slowest_recovery, static_cast<double>(t.size() - *waiting_since));
+        figures.slowest_recovery =
+            std::max(figures.slowest_recovery, static_cast<double>(t.size() - *waiting_since));
     }
 }
 
@@ -260,8 +264,8 @@
     add_row(report, "periodic-greedy", greedy, runs);
     add_row(report, "full-optimal", optimal, runs);
     add_row(report, "planner", planned, runs);
-    report.add({"lower-bound", "1.000", "1.000", "1.000", "0.00", "0.0", "0.0", "0.00", "0.00",
-                "0", "0.00"});
+    report.add({"lower-bound", "1.000", "1.000", "1.000", "0.00", "0.0", "0.0", "0.00", "0.00", "0",
+                "0.00"});
     return report;
 }
 
--- a/bench/decisions/disseminationbench.cpp
+++ b/bench/decisions/disseminationbench.cpp
@@ -53,7 +53,8 @@
             for (const core::host_id& peer : intents::peers_to_dial(members_[i], members_)) {
                 connect(i, index_of(peer));
             }
-            post(std::chrono::milliseconds(random_() % 500), {sync_event::kind::status, i, 0, 0, {}});
+            post(std::chrono::milliseconds(random_() % 500),
+                 {sync_event::kind::status, i, 0, 0, {}});
         }
         lossy_ = links_.empty() ? std::pair<std::size_t, std::size_t>() : links_.begin()->first;
         silent_relay_ = relays_.empty() ? 0 : index_of(*relays_.begin());
@@ -79,10 +80,10 @@
         std::vector<double> seconds;
         for (const std::pair<const std::uint64_t, core::time_point>& accepted : accepted_) {
             const auto done = everywhere_.find(accepted.first);
-            seconds.push_back(done == everywhere_.end()
-                                  ? 1e9
-                                  : std::chrono::duration<double>(done->second - accepted.second)
-                                        .count());
+            seconds.push_back(
+                done == everywhere_.end()
+                    ? 1e9
+                    : std::chrono::duration<double>(done->second - accepted.second).count());
         }
         return seconds;
     }
@@ -127,8 +128,8 @@
             }
             bytes_[from] += size + wire_overhead_bytes;
             bytes_[to] += size + wire_overhead_bytes;
-            post(link_delay, {sync_event::kind::message, from, to, links_[link(from, to)],
-                              std::move(m)});
+            post(link_delay,
+                 {sync_event::kind::message, from, to, links_[link(from, to)], std::move(m)});
         }
     }
     void handle(const sync_event& event)
@@ -158,12 +159,15 @@
     void accept_change()
     {
         const core::revision version{store_.size() + 1};
-        store_.push_back({{"Workspace", "w" + std::to_string(version.value % 20)}, version,
-                          std::string(300, 'x'), false});
+        store_.push_back({{"Workspace", "w" + std::to_string(version.value % 20)},
+                          version,
+                          std::string(300, 'x'),
+                          false});
         accepted_[version.value] = now_;
         for (const core::host_id& relay : relays_) {
             if (index_of(relay) != silent_relay_ || relays_.size() == 1) {
-                post(watch_delay, {sync_event::kind::watch, index_of(relay), store_.size() - 1, 0, {}});
+                post(watch_delay,
+                     {sync_event::kind::watch, index_of(relay), store_.size() - 1, 0, {}});
             }
         }
     }
--- a/bench/decisions/entrysetsbench.cpp
+++ b/bench/decisions/entrysetsbench.cpp
@@ -147,8 +147,8 @@
 
 bench_report run_entry_sets(std::uint64_t seed)
 {
-    bench_report report({"entries", "choice", "moved_on_join", "moved_on_leave",
-                         "needed_on_leave", "lost_with_domain", "ns"});
+    bench_report report({"entries", "choice", "moved_on_join", "moved_on_leave", "needed_on_leave",
+                         "lost_with_domain", "ns"});
     const std::vector<std::array<std::size_t, 3>> sizes = {
         {9, 3, 6300}, {100, 8, 6300}, {2400, 22, 1000}};
     for (const std::array<std::size_t, 3>& size : sizes) {
@@ -156,8 +156,7 @@
         add_row(report, "rendezvous", size[0],
                 measure<rendezvous_choice>(size[0], size[1], size[2], seed));
         add_row(report, "jump", size[0], measure<jump_choice>(size[0], size[1], size[2], seed));
-        add_row(report, "modulo", size[0],
-                measure<modulo_choice>(size[0], size[1], size[2], seed));
+        add_row(report, "modulo", size[0], measure<modulo_choice>(size[0], size[1], size[2], seed));
     }
     return report;
 }
--- a/bench/decisions/fairnessbench.cpp
+++ b/bench/decisions/fairnessbench.cpp
@@ -91,8 +91,8 @@
             }
         }
         for (std::size_t w = 0; w < plans_.size(); ++w) {
-            std::poisson_distribution<int> arrivals(
-                plans_[w].rate * std::chrono::duration<double>(tick).count());
+            std::poisson_distribution<int> arrivals(plans_[w].rate *
+                                                    std::chrono::duration<double>(tick).count());
             const int wanted = plans_[w].rate > 0 ? arrivals(random_) : 0;
             for (int i = 0; i < wanted; ++i) {
                 arrive(random_() % entry_count, w, counted);
@@ -118,8 +118,7 @@
     void arrive(std::size_t e, std::size_t w, bool counted)
     {
         counts_[w].asked += counted ? 1 : 0;
-        const admission::admission_answer a =
-            gates_[e].request(plans_[w].id, 0, patience, now_);
+        const admission::admission_answer a = gates_[e].request(plans_[w].id, 0, patience, now_);
         if (a.kind == admission_kind::refused) {
             counts_[w].refused += counted ? 1 : 0;
         }
@@ -263,8 +262,8 @@
 
 bench_report run_fairness(std::uint64_t seed)
 {
-    bench_report report({"case", "utilization_before", "worst_kept_by_others",
-                         "kept_by_flooding", "capacity_used", "refused_beyond_forced"});
+    bench_report report({"case", "utilization_before", "worst_kept_by_others", "kept_by_flooding",
+                         "capacity_used", "refused_beyond_forced"});
     for (const double utilization : {0.5, 0.8, 0.95}) {
         std::cerr << "progress utilization=" << utilization << "\n";
         add_flood(report, seed, utilization);
--- a/bench/decisions/ledgerbench.cpp
+++ b/bench/decisions/ledgerbench.cpp
@@ -67,8 +67,7 @@
             run.start(c, true);
             to_finish.emplace_back(core::runtime_clock::now() + action_time, c);
             run.advance(gap);
-            while (!to_finish.empty() &&
-                   to_finish.front().first <= core::runtime_clock::now()) {
+            while (!to_finish.empty() && to_finish.front().first <= core::runtime_clock::now()) {
                 const actions::claim_operation& done = to_finish.front().second;
                 run.start(actions::finish_operation{done.id, done.attempt, 200, "text/plain",
                                                     "booked", true},
@@ -90,8 +89,8 @@
 
 bench_report run_ledger(std::uint64_t seed)
 {
-    bench_report report({"actions_per_second", "actions", "writes_per_action",
-                         "writes_per_second", "claim_ms_p50", "claim_ms_p99"});
+    bench_report report({"actions_per_second", "actions", "writes_per_action", "writes_per_second",
+                         "claim_ms_p50", "claim_ms_p99"});
     for (const int rate : {1, 10, 50, 100, 200}) {
         std::cerr << "progress rate=" << rate << "\n";
         add_rate(report, rate, seed);
--- a/bench/decisions/poptrace.cpp
+++ b/bench/decisions/poptrace.cpp
@@ -97,7 +97,8 @@
         if (name == "slow-rank" && p >= slow_begins && p < slow_ends) {
             period.rank_speed[slow_rank] = slow_speed;
         }
-        period.event = period.event || (name == "slow-rank" && (p == slow_begins || p == slow_ends));
+        period.event =
+            period.event || (name == "slow-rank" && (p == slow_begins || p == slow_ends));
         if (name != "stale" || p < reports_end) {
             period.reported_tokens = sampled(period.share, random);
         }
--- a/bench/decisions/routingbench.cpp
+++ b/bench/decisions/routingbench.cpp
@@ -135,8 +135,8 @@
     }
     std::size_t choose(std::uint64_t, core::time_point)
     {
-        return static_cast<std::size_t>(
-            std::min_element(reported_.begin(), reported_.end()) - reported_.begin());
+        return static_cast<std::size_t>(std::min_element(reported_.begin(), reported_.end()) -
+                                        reported_.begin());
     }
     void ended(std::size_t) {}
 
@@ -177,7 +177,7 @@
             total += r;
         }
         if (step > 200 && total > 0) {
-            figures.busiest.push_back(*std::max_element(running.begin(), running.end()) * 
+            figures.busiest.push_back(*std::max_element(running.begin(), running.end()) *
                                       static_cast<double>(count) / total);
         }
     }
--- a/bench/decisions/slopesbench.cpp
+++ b/bench/decisions/slopesbench.cpp
@@ -83,8 +83,8 @@
 }
 
 template <class Work>
-void add_time(bench_report& report, const std::string& name,
-              const std::vector<std::size_t>& counts, Work work)
+void add_time(bench_report& report, const std::string& name, const std::vector<std::size_t>& counts,
+              Work work)
 {
     std::cerr << "progress " << name << "\n";
     std::vector<std::pair<double, double>> points;
@@ -115,10 +115,9 @@
 
 platform::object workspace_object(std::size_t i)
 {
-    return resource_object("Workspace", "workspace-" + std::to_string(i), i + 1,
-                           {{"services", boost::json::array{"tutor", "enrolment"}},
-                            {"share", 3},
-                            {"entries", 3}});
+    return resource_object(
+        "Workspace", "workspace-" + std::to_string(i), i + 1,
+        {{"services", boost::json::array{"tutor", "enrolment"}}, {"share", 3}, {"entries", 3}});
 }
 
 platform::object endpoint_object(std::size_t i)
@@ -235,16 +234,14 @@
 
 void add_admission(bench_report& report)
 {
-    add_memory(report, "share gate per workspace", {500, 1000, 2000, 4000, 8000},
-               [](std::size_t n) {
-                   std::unique_ptr<admission::share_gate> gate =
-                       std::make_unique<admission::share_gate>();
-                   for (std::size_t i = 0; i < n; ++i) {
-                       gate->set_workspace(core::workspace_id("workspace-" + std::to_string(i)), 1,
-                                           3, 0);
-                   }
-                   return gate;
-               });
+    add_memory(
+        report, "share gate per workspace", {500, 1000, 2000, 4000, 8000}, [](std::size_t n) {
+            std::unique_ptr<admission::share_gate> gate = std::make_unique<admission::share_gate>();
+            for (std::size_t i = 0; i < n; ++i) {
+                gate->set_workspace(core::workspace_id("workspace-" + std::to_string(i)), 1, 3, 0);
+            }
+            return gate;
+        });
     add_time(report, "admission, per request at 6300 workspaces", {10000, 20000, 40000, 80000},
              [](std::size_t n) {
                  admission::share_gate gate;
@@ -279,18 +276,17 @@
         membership::answer_addresses(question, entries);
         return watch.nanoseconds();
     });
-    add_memory(report, "presence per process observed", {500, 1000, 2000, 4000},
-               [](std::size_t n) {
-                   std::unique_ptr<membership::presence_table> table =
-                       std::make_unique<membership::presence_table>(core::host_id("self"),
-                                                                    core::incarnation{1});
-                   for (std::size_t i = 0; i < n; ++i) {
-                       table->take({core::host_id("relay"), core::incarnation{1}, i + 1,
-                                    core::host_id("entry-" + std::to_string(i)),
-                                    core::incarnation{i}, membership::presence::down});
-                   }
-                   return table;
-               });
+    add_memory(report, "presence per process observed", {500, 1000, 2000, 4000}, [](std::size_t n) {
+        std::unique_ptr<membership::presence_table> table =
+            std::make_unique<membership::presence_table>(core::host_id("self"),
+                                                         core::incarnation{1});
+        for (std::size_t i = 0; i < n; ++i) {
+            table->take({core::host_id("relay"), core::incarnation{1}, i + 1,
+                         core::host_id("entry-" + std::to_string(i)), core::incarnation{i},
+                         membership::presence::down});
+        }
+        return table;
+    });
     add_time(report, "peer statuses, per status", {1000, 2000, 4000, 8000}, [](std::size_t n) {
         intents::disseminator d;
         d.on_listing({core::revision{9}, {}}, {});
@@ -308,32 +304,31 @@
 
 void add_sessions(bench_report& report)
 {
-    add_memory(report, "agent's gate per unsettled attempt", {1000, 2000, 4000, 8000},
-               [](std::size_t n) {
-                   std::unique_ptr<sessions::attempt_gate> gate =
-                       std::make_unique<sessions::attempt_gate>(core::incarnation{1});
-                   const sessions::hello h{core::host_id("e"), core::incarnation{2}, core::epoch{1},
-                                           core::attempt_number{1}};
-                   if (!gate->open(h, {})) {
-                       std::abort();
-                   }
-                   for (std::size_t i = 1; i <= n; ++i) {
-                       const core::result<void> started = gate->start(
-                           core::incarnation{2}, core::epoch{1}, core::attempt_number{i});
-                       if (!started) {
-                           std::abort();
-                       }
-                   }
-                   return gate;
-               });
+    add_memory(
+        report, "agent's gate per unsettled attempt", {1000, 2000, 4000, 8000}, [](std::size_t n) {
+            std::unique_ptr<sessions::attempt_gate> gate =
+                std::make_unique<sessions::attempt_gate>(core::incarnation{1});
+            const sessions::hello h{core::host_id("e"), core::incarnation{2}, core::epoch{1},
+                                    core::attempt_number{1}};
+            if (!gate->open(h, {})) {
+                std::abort();
+            }
+            for (std::size_t i = 1; i <= n; ++i) {
+                const core::result<void> started =
+                    gate->start(core::incarnation{2}, core::epoch{1}, core::attempt_number{i});
+                if (!started) {
+                    std::abort();
+                }
+            }
+            return gate;
+        });
 }
 
 void add_planner(bench_report& report)
 {
     add_time(report, "plan, per rank at 128 experts", {16, 32, 64, 128}, [](std::size_t n) {
-        const expertmaps::map_shape shape{
-            static_cast<std::uint32_t>(n), 128,
-            static_cast<std::uint32_t>((128 + n - 1) / n + 2)};
+        const expertmaps::map_shape shape{static_cast<std::uint32_t>(n), 128,
+                                          static_cast<std::uint32_t>((128 + n - 1) / n + 2)};
         std::mt19937_64 random(7);
         std::vector<double> share(128);
         double total = 0;
--- a/src/entry/agentdirectory.cpp
+++ b/src/entry/agentdirectory.cpp
@@ -206,4 +206,13 @@
     return count;
 }
 
+std::uint64_t agent_directory::bytes() const
+{
+    std::uint64_t total = 0;
+    for (const std::pair<const core::endpoint_id, connected_endpoint>& entry : endpoints_) {
+        total += entry.second.link->bytes();
+    }
+    return total;
+}
+
 } // namespace currantpitch::entry
--- a/src/entry/agentdirectory.h
+++ b/src/entry/agentdirectory.h
@@ -26,6 +26,8 @@
     /// Endpoint behind an agent.
     std::optional<core::endpoint_id> endpoint_at(const core::host_id& agent) const;
     std::size_t connected() const;
+    /// Bytes sent and received in the present sessions.
+    std::uint64_t bytes() const;
 
     /// Called when an endpoint's session or load has changed.
     std::function<void()> on_change;
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -252,8 +252,8 @@
     return request;
 }
 
-core::task<core::result<admission::admission_kind>> caller_front::admit(const checked_request& request,
-                                                   http::response& refusal)
+core::task<core::result<admission::admission_kind>>
+caller_front::admit(const checked_request& request, http::response& refusal)
 {
     service_state& service = context_.service(request.service);
     const core::time_point now = core::runtime_clock::now();
@@ -342,7 +342,8 @@
         co_await connection.reply(std::move(answer));
         co_return;
     }
-    const core::result<admission::admission_kind> admitted = co_await admit(checked.value(), refusal);
+    const core::result<admission::admission_kind> admitted =
+        co_await admit(checked.value(), refusal);
     if (!admitted) {
         co_await connection.reply(std::move(refusal));
         co_return;
@@ -379,7 +380,8 @@
     request.key = received.header_value("Idempotency-Key").value_or("");
     request.issued_at = core::wall_time(std::chrono::milliseconds(
         number_or(received.header_value("Idempotency-Issued-At"), now.time_since_epoch().count())));
-    const core::result<admission::admission_kind> admitted = co_await admit(checked.value(), refusal);
+    const core::result<admission::admission_kind> admitted =
+        co_await admit(checked.value(), refusal);
     if (!admitted) {
         co_await connection.reply(std::move(refusal));
         co_return;
--- a/src/entry/callerfront.h
+++ b/src/entry/callerfront.h
@@ -35,7 +35,8 @@
                                         intents::endpoint_role role, http::response& refusal) const;
     core::task<void> generate(http::server_connection& connection, const http::request& received);
     core::task<void> call(http::server_connection& connection, const http::request& received);
-    core::task<core::result<admission::admission_kind>> admit(const checked_request& request, http::response& refusal);
+    core::task<core::result<admission::admission_kind>> admit(const checked_request& request,
+                                                              http::response& refusal);
     http::response stopping_answer(const core::workspace_id& workspace) const;
     http::response answer_of(const actions::action_result& result) const;
 
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -154,6 +154,8 @@
             co_await drop_expired_quarantines();
         }
         core::gauge_for("requests_in_flight").set(static_cast<double>(context_.in_flight));
+        core::gauge_for("peer_bytes").set(static_cast<double>(peers_.control_bytes()));
+        core::gauge_for("agent_bytes").set(static_cast<double>(agents_.bytes()));
         core::gauge_for("configuration_revision").set(static_cast<double>(peers_.complete().value));
     }
 }
--- a/src/expertmaps/expertmap.cpp
+++ b/src/expertmaps/expertmap.cpp
@@ -7,6 +7,7 @@
 #include <numeric>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 namespace currantpitch::expertmaps {
@@ -26,20 +27,41 @@
     std::uint32_t slot = 0;
 };
 
-std::vector<std::vector<holding>> holders_of(const expert_map& map)
+/// The replicas of all experts, one expert after another.
+struct holder_table {
+    std::vector<holding> all;
+    /// Where each expert's replicas begin; one more entry than experts.
+    std::vector<std::uint32_t> begins;
+
+    std::span<holding> of(std::uint32_t expert)
+    {
+        return std::span<holding>(all).subspan(begins[expert], begins[expert + 1] - begins[expert]);
+    }
+};
+
+holder_table holders_of(const expert_map& map)
 {
-    std::vector<std::vector<holding>> holders(map.experts);
+    holder_table table;
+    table.begins.assign(map.experts + 1, 0);
+    for (const std::vector<replica>& held : map.ranks) {
+        for (const replica& r : held) {
+            ++table.begins[r.expert + 1];
+        }
+    }
+    std::partial_sum(table.begins.begin(), table.begins.end(), table.begins.begin());
+    table.all.resize(table.begins.back());
+    std::vector<std::uint32_t> next(table.begins.begin(), table.begins.end() - 1);
     for (std::uint32_t rank = 0; rank < map.ranks.size(); ++rank) {
         for (std::uint32_t slot = 0; slot < map.ranks[rank].size(); ++slot) {
-            holders[map.ranks[rank][slot].expert].push_back({rank, slot});
+            table.all[next[map.ranks[rank][slot].expert]++] = {rank, slot};
         }
     }
-    return holders;
+    return table;
 }
 
 /// Spreads the tokens of one expert over its ranks so that they end at one common time. loads does
 /// not contain the expert's tokens at the start and does at the end.
-void fill_to_level(expert_map& map, std::vector<holding>& holders, double tokens,
+void fill_to_level(expert_map& map, std::span<holding> holders, double tokens,
                    std::vector<double>& loads, const std::vector<double>& speeds)
 {
     std::sort(holders.begin(), holders.end(), [&](const holding& a, const holding& b) {
@@ -195,7 +217,13 @@
 void balance_weights(expert_map& map, const std::vector<double>& expert_tokens,
                      const std::vector<double>& speeds)
 {
-    std::vector<std::vector<holding>> holders = holders_of(map);
+    balance_weights(map, expert_tokens, speeds, max_balance_sweeps);
+}
+
+void balance_weights(expert_map& map, const std::vector<double>& expert_tokens,
+                     const std::vector<double>& speeds, int most_sweeps)
+{
+    holder_table holders = holders_of(map);
     std::vector<double> loads(map.ranks.size(), 0);
     for (std::size_t rank = 0; rank < map.ranks.size(); ++rank) {
         for (const replica& r : map.ranks[rank]) {
@@ -203,9 +231,9 @@
         }
     }
     double slowest_before = 0;
-    for (int sweep = 0; sweep < max_balance_sweeps; ++sweep) {
+    for (int sweep = 0; sweep < most_sweeps; ++sweep) {
         for (std::uint32_t expert = 0; expert < map.experts; ++expert) {
-            std::vector<holding>& held = holders[expert];
+            const std::span<holding> held = holders.of(expert);
             for (const holding& h : held) {
                 loads[h.rank] -= map.ranks[h.rank][h.slot].weight * expert_tokens[expert];
             }
--- a/src/expertmaps/expertmap.h
+++ b/src/expertmaps/expertmap.h
@@ -53,7 +53,9 @@
                   std::size_t ranks);
 
 /// Sets the weights of all replicas so that the ranks' times are as equal as the placement allows.
-/// Moves no replica.
+/// Moves no replica. Fewer sweeps take less time and may end short of the best weights.
+void balance_weights(expert_map& map, const std::vector<double>& expert_tokens,
+                     const std::vector<double>& speeds, int most_sweeps);
 void balance_weights(expert_map& map, const std::vector<double>& expert_tokens,
                      const std::vector<double>& speeds);
 
--- a/src/expertmaps/expertmapsconstants.h
+++ b/src/expertmaps/expertmapsconstants.h
@@ -10,23 +10,24 @@
 inline constexpr int max_balance_sweeps = 24;
 inline constexpr double balance_tolerance = 5e-4;
 
+/// Sweeps for the trial of one move, and after a move has been chosen.
+inline constexpr int trial_sweeps = 2;
+inline constexpr int settling_sweeps = 6;
 /// Most replica moves that one plan considers.
-inline constexpr int max_moves_considered = 64;
+inline constexpr int max_moves_considered = 20;
 /// Experts of the slowest rank and fast ranks that are tried for one move.
-inline constexpr std::size_t move_experts_tried = 3;
-inline constexpr std::size_t move_targets_tried = 3;
+inline constexpr std::size_t move_experts_tried = 2;
+inline constexpr std::size_t move_targets_tried = 2;
 /// Skew up to which no further move is looked for.
 inline constexpr double good_enough_skew = 1.01;
-/// Exponent of the norm by which the search compares placements; a high one follows the slowest
-/// ranks.
-inline constexpr double search_norm = 12;
-
 /// Time for which a popularity is expected to last when it shows no drift.
 inline constexpr std::chrono::seconds horizon{120};
-/// Part by which the gain of a plan must exceed its cost.
-inline constexpr double hysteresis = 1.25;
-/// Skew that must be gained for a plan to be made at all.
-inline constexpr double smallest_gain = 0.02;
+/// Factor by which the gain of moves must exceed their cost, in the first plan and later.
+inline constexpr double first_hysteresis = 1;
+inline constexpr double hysteresis = 2;
+/// Skew that must be gained for moves to be made at all, and for a change of weights.
+inline constexpr double smallest_gain = 0.01;
+inline constexpr double smallest_reweighting = 0.002;
 /// Rate at which one rank takes weights in from the store, in bytes a second.
 inline constexpr double store_bytes_per_second = 1e9;
 
--- a/src/expertmaps/internal/placementsearch.cpp
+++ b/src/expertmaps/internal/placementsearch.cpp
@@ -61,12 +61,14 @@
     return copies;
 }
 
-/// A higher value means that the slowest ranks are slower.
+/// Sum of the twelfth powers: a higher value means that the slowest ranks are slower.
 double norm_of(const std::vector<double>& times, double ideal)
 {
     double sum = 0;
     for (const double t : times) {
-        sum += std::pow(t / ideal, search_norm);
+        const double cubed = t / ideal * (t / ideal) * (t / ideal);
+        const double sixth = cubed * cubed;
+        sum += sixth * sixth;
     }
     return sum;
 }
@@ -253,7 +255,7 @@
         double best_norm = norm;
         for (const candidate_move& c : candidates(shape, map, expert_tokens, times)) {
             expert_map next = after_move(map, c);
-            balance_weights(next, expert_tokens, speeds);
+            balance_weights(next, expert_tokens, speeds, trial_sweeps);
             const double next_norm = norm_of(rank_times(next, expert_tokens, speeds), ideal);
             if (next_norm < best_norm) {
                 best_norm = next_norm;
@@ -264,8 +266,9 @@
             break;
         }
         map = std::move(*best);
-        norm = best_norm;
+        balance_weights(map, expert_tokens, speeds, settling_sweeps);
         times = rank_times(map, expert_tokens, speeds);
+        norm = std::min(best_norm, norm_of(times, ideal));
         slowest = *std::max_element(times.begin(), times.end());
         steps.push_back({map, slowest, moved_replicas(present, map)});
     }
--- a/src/expertmaps/planner.cpp
+++ b/src/expertmaps/planner.cpp
@@ -68,7 +68,8 @@
     const double saved = (slowest_before - slowest) / ideal * span;
     const double cost =
         options_.move_weight * move_seconds(static_cast<double>(moves) * options_.replica_bytes);
-    return options_.skew_weight * saved - hysteresis * cost;
+    const double factor = first_ ? first_hysteresis : hysteresis;
+    return options_.skew_weight * saved - factor * cost;
 }
 
 plan planner::make(const expert_map& present, const std::optional<popularity_estimate>& estimate,
@@ -95,7 +96,7 @@
             match_ranks(place_from_scratch(options_.shape, tokens, estimate->rank_speed), present,
                         estimate->rank_speed);
         for (search_step& s : improve_step_by_step(
-                 options_.shape, fresh, tokens, estimate->rank_speed, max_moves_considered / 4)) {
+                 options_.shape, fresh, tokens, estimate->rank_speed, max_moves_considered / 2)) {
             s.moves = moved_replicas(present, s.map);
             steps.push_back(std::move(s));
         }
@@ -129,7 +130,7 @@
         result.reason = plan_reason::moved;
         budget_bytes_ -= result.moved_bytes;
     }
-    else if (result.skew_before - result.skew_after > smallest_gain / 4) {
+    else if (result.skew_before - result.skew_after > smallest_reweighting) {
         result.reason = plan_reason::reweighted;
     }
     else {
--- a/src/sessions/agentlink.cpp
+++ b/src/sessions/agentlink.cpp
@@ -56,6 +56,11 @@
     pause_.cancel();
 }
 
+std::uint64_t agent_link::bytes() const
+{
+    return connection_ ? connection_->bytes_sent() + connection_->bytes_received() : 0;
+}
+
 core::task<core::result<void>> agent_link::open_session()
 {
     const core::time_point deadline = core::runtime_clock::now() + hello_timeout;
--- a/src/sessions/agentlink.h
+++ b/src/sessions/agentlink.h
@@ -38,6 +38,8 @@
     /// The last report of the present session; nothing before the first.
     const std::optional<dated_load>& load() const { return load_; }
     std::size_t open_attempts() const { return book_.open_attempts(); }
+    /// Bytes sent and received in the present session.
+    std::uint64_t bytes() const;
 
     /// Sends work. errc::unavailable when there is no session; nothing was sent then.
     core::result<std::shared_ptr<attempt_channel>> start(start_work work);
