--- a/src/entry/agentdirectory.cpp
+++ b/src/entry/agentdirectory.cpp
@@ -3,6 +3,8 @@
 #include "core/eventlog.h"
 #include "core/hashing.h"
 #include "intents/syncmessages.h"
+#include "membership/entryset.h"
+#include "routing/routingconstants.h"
 #include "wire/packer.h"
 
 namespace currantpitch::entry {
@@ -18,18 +20,60 @@
     for (const std::pair<const core::endpoint_id, connected_endpoint>& entry : endpoints_) {
         gone.insert(entry.first);
     }
+    for (const core::endpoint_id& id : wanted()) {
+        const intents::endpoint_spec& spec = catalog.endpoints().at(id).spec;
+        add(id, spec, catalog.hosts().at(spec.host).spec);
+        gone.erase(id);
+    }
+    for (const core::endpoint_id& id : gone) {
+        remove(id);
+    }
+}
+
+// Of a large service each entry uses a part only, chosen so that endpoints are used by about
+// equally many entries and failure domains evenly.
+std::set<core::endpoint_id> agent_directory::wanted() const
+{
+    const intents::catalog& catalog = context_.catalog;
+    std::map<core::service_id, std::vector<membership::entry_candidate>> by_service;
+    std::map<core::host_id, core::endpoint_id> endpoint_on;
     for (const std::pair<const core::endpoint_id, intents::versioned<intents::endpoint_spec>>&
              entry : catalog.endpoints()) {
-        const auto host = catalog.hosts().find(entry.second.spec.host);
-        if (host == catalog.hosts().end() || host->second.spec.role != intents::host_role::agent) {
-            continue;
+        const core::host_id& host = entry.second.spec.host;
+        const auto known = catalog.hosts().find(host);
+        const bool usable =
+            known != catalog.hosts().end() && known->second.spec.role == intents::host_role::agent;
+        if (usable) {
+            by_service[entry.second.spec.service].push_back(
+                {host, known->second.spec.failure_domain});
+            endpoint_on[host] = entry.first;
         }
-        add(entry.first, entry.second.spec, host->second.spec);
-        gone.erase(entry.first);
     }
-    for (const core::endpoint_id& id : gone) {
-        remove(id);
+    std::set<core::endpoint_id> chosen;
+    for (const std::pair<const core::service_id, std::vector<membership::entry_candidate>>& s :
+         by_service) {
+        const std::string key = context_.settings.host.str() + "/" + s.first.str();
+        for (const core::host_id& host :
+             membership::choose_spread(key, s.second, routing::max_endpoints_per_service)) {
+            chosen.insert(endpoint_on.at(host));
+        }
+    }
+    for (const core::host_id& host : required_) {
+        const auto found = endpoint_on.find(host);
+        if (found != endpoint_on.end()) {
+            chosen.insert(found->second);
+        }
+    }
+    return chosen;
+}
+
+sessions::agent_link* agent_directory::require_link(const core::host_id& agent)
+{
+    if (!by_host_.contains(agent) && required_.insert(agent).second) {
+        last_change_ = 0;
+        reconcile();
     }
+    return link_at(agent);
 }
 
 void agent_directory::add(const core::endpoint_id& id, const intents::endpoint_spec& spec,
--- a/src/entry/agentdirectory.h
+++ b/src/entry/agentdirectory.h
@@ -23,6 +23,9 @@
     /// The session with the agent of an endpoint; null when there is none.
     sessions::agent_link* link_of(const core::endpoint_id& endpoint);
     sessions::agent_link* link_at(const core::host_id& agent);
+    /// Keeps a session with the agent from now on, also when this entry does not use its endpoint.
+    /// Null when the configuration does not know the agent.
+    sessions::agent_link* require_link(const core::host_id& agent);
     /// Endpoint behind an agent.
     std::optional<core::endpoint_id> endpoint_at(const core::host_id& agent) const;
     std::size_t connected() const;
@@ -44,6 +47,7 @@
         std::uint64_t sent_configuration = 0;
     };
 
+    std::set<core::endpoint_id> wanted() const;
     void add(const core::endpoint_id& id, const intents::endpoint_spec& spec,
              const intents::host_spec& host);
     void remove(const core::endpoint_id& id);
@@ -56,6 +60,8 @@
     std::map<core::endpoint_id, connected_endpoint> endpoints_;
     std::map<core::host_id, core::endpoint_id> by_host_;
     std::uint64_t last_change_ = 0;
+    /// Agents that were asked about attempts of other entries.
+    std::set<core::host_id> required_;
 };
 
 } // namespace currantpitch::entry
--- a/src/entry/entryconstants.h
+++ b/src/entry/entryconstants.h
@@ -18,6 +18,8 @@
 inline constexpr std::chrono::milliseconds no_endpoint_delay{50};
 /// Most entries over which demand is passed on beyond direct peers.
 inline constexpr std::size_t max_entries_for_demand = 64;
+/// Interval at which a call waits for a new session with an agent that it must ask.
+inline constexpr std::chrono::milliseconds connect_poll_interval{10};
 /// Time suggested to callers of an entry that is about to stop.
 inline constexpr std::chrono::milliseconds stopping_retry_after{100};
 /// Time for a shard's owner to answer before this entry commits itself.
--- a/src/entry/plaincall.cpp
+++ b/src/entry/plaincall.cpp
@@ -1,7 +1,7 @@
 #include "entry/plaincall.h"
 
 #include "core/eventlog.h"
-#include "core/hashing.h"
+#include "entry/entryconstants.h"
 
 namespace currantpitch::entry {
 
@@ -73,10 +73,14 @@
 entry_agents::resolve_attempt(core::host_id agent, sessions::attempt_identity id,
                               core::time_point deadline)
 {
-    sessions::agent_link* const link = agents_.link_at(agent);
+    sessions::agent_link* const link = agents_.require_link(agent);
     if (link == nullptr) {
         co_return core::error{core::errc::unavailable, "the agent is gone"};
     }
+    const std::shared_ptr<sessions::agent_link> keep_alive = link->shared_from_this();
+    while (!link->connected() && core::runtime_clock::now() < deadline) {
+        co_await core::sleep_for(connect_poll_interval);
+    }
     co_return co_await link->resolve_attempt(id, deadline);
 }
 
--- a/src/membership/entryset.cpp
+++ b/src/membership/entryset.cpp
@@ -39,7 +39,14 @@
                                           const std::vector<entry_candidate>& candidates,
                                           std::size_t count)
 {
-    const std::uint64_t seed = core::hash64(workspace.str());
+    return choose_spread(workspace.str(), candidates, count);
+}
+
+std::vector<core::host_id> choose_spread(std::string_view key,
+                                         const std::vector<entry_candidate>& candidates,
+                                         std::size_t count)
+{
+    const std::uint64_t seed = core::hash64(key);
     std::unordered_map<core::failure_domain_id, std::vector<ranked_entry>> domains;
     for (const entry_candidate& c : candidates) {
         domains[c.failure_domain].push_back({core::hash64(c.host.str(), seed), &c});
