Read back: one listener, one first frame, one splitter; samples apart from the coordinator

Cause: the same steps stood in two or three places, and groupcoordinator.h had two jobs. Change: wire::open_listener, wire::receive_first, core::split, expertmaps::sample_collector. Seen: 15 test programs pass as before.

--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -1,3 +1,4 @@
+#include "core/text.h"
 #include "load/callerclient.h"
 #include "load/loadconstants.h"
 
@@ -22,17 +23,6 @@
     std::uint64_t seed = 1;
 };
 
-std::vector<std::string> split(const std::string& list)
-{
-    std::vector<std::string> parts;
-    std::istringstream text(list);
-    std::string part;
-    while (std::getline(text, part, ',')) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 core::task<void> print_progress(const load::load_report& report, const std::size_t& open)
 {
     while (open > 0) {
@@ -58,7 +48,7 @@
            load::address_book& addresses, load::load_report& report,
            std::vector<std::unique_ptr<load::caller>>& callers, std::size_t& open)
 {
-    const std::vector<std::string> workspaces = split(options.workspaces);
+    const std::vector<std::string> workspaces = core::split(options.workspaces, ',');
     const std::uint64_t lines = options.connections;
     for (std::uint64_t i = 0; i < lines; ++i) {
         const bool calls = options.calls > 0 && i % 4 == 3;
@@ -99,7 +89,7 @@
     CLI11_PARSE(app, argc, argv);
 
     core::asio::io_context context{1};
-    load::address_book addresses(split(options.servers));
+    load::address_book addresses(core::split(options.servers, ','));
     load::load_report report;
     std::vector<std::unique_ptr<load::caller>> callers;
     std::size_t open = 0;
--- a/src/agent/agentnode.h
+++ b/src/agent/agentnode.h
@@ -43,7 +43,6 @@
     void begin_stop(std::string_view reason);
 
 private:
-    core::result<void> listen();
     core::task<void> accept();
     core::task<void> serve(std::shared_ptr<wire::framed_connection> connection);
     core::task<void> registration_loop();
@@ -68,30 +67,10 @@
     bool desired_leaving_ = false;
 };
 
-template <endpoints::endpoint_backend Backend>
-core::result<void> agent_node<Backend>::listen()
-{
-    boost::system::error_code failure;
-    listener_.open(settings_.peer_address.protocol(), failure);
-    if (!failure) {
-        listener_.set_option(core::asio::socket_base::reuse_address(true), failure);
-    }
-    if (!failure) {
-        listener_.bind(settings_.peer_address, failure);
-    }
-    if (!failure) {
-        listener_.listen(core::asio::socket_base::max_listen_connections, failure);
-    }
-    if (failure) {
-        return core::error{core::errc::unavailable, failure.message()};
-    }
-    return core::ok();
-}
-
 template <endpoints::endpoint_backend Backend>
 core::task<core::result<void>> agent_node<Backend>::run()
 {
-    const core::result<void> listening = listen();
+    const core::result<void> listening = wire::open_listener(listener_, settings_.peer_address);
     if (!listening) {
         co_return listening.error();
     }
--- a/src/apps/currantpitchctl/main.cpp
+++ b/src/apps/currantpitchctl/main.cpp
@@ -1,3 +1,4 @@
+#include "core/text.h"
 #include "currantpitchctl/commands.h"
 #include "currantpitchctl/ctlconstants.h"
 
@@ -17,17 +18,6 @@
     return text == "yaml" ? output_format::yaml : output_format::table;
 }
 
-std::vector<std::string> split(const std::string& list)
-{
-    std::vector<std::string> parts;
-    std::istringstream text(list);
-    std::string part;
-    while (std::getline(text, part, ',')) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -47,7 +37,8 @@
            "Output format: table, json or yaml")
         ->check(CLI::IsMember({"table", "json", "yaml"}))
         ->default_str("table");
-    app.parse_complete_callback([&context, &servers] { context.servers = split(servers); });
+    app.parse_complete_callback(
+        [&context, &servers] { context.servers = currantpitch::core::split(servers, ','); });
     app.require_subcommand(1);
     app.fallthrough();
     app.footer("Exit codes: 0 done, 1 refused or unreachable, 2 findings in the input, 3 conflict "
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -49,26 +49,12 @@
 
 core::result<void> entry_node::listen()
 {
-    for (std::pair<core::asio::ip::tcp::acceptor*, settings::address> listener :
-         {std::pair(&callers_, context_.settings.caller_address),
-          std::pair(&peer_listener_, context_.settings.peer_address)}) {
-        boost::system::error_code failure;
-        core::asio::ip::tcp::acceptor& acceptor = *listener.first;
-        acceptor.open(listener.second.protocol(), failure);
-        if (!failure) {
-            acceptor.set_option(core::asio::socket_base::reuse_address(true), failure);
-        }
-        if (!failure) {
-            acceptor.bind(listener.second, failure);
-        }
-        if (!failure) {
-            acceptor.listen(core::asio::socket_base::max_listen_connections, failure);
-        }
-        if (failure) {
-            return error{errc::unavailable, text_of(listener.second) + ": " + failure.message()};
-        }
+    const core::result<void> for_callers =
+        wire::open_listener(callers_, context_.settings.caller_address);
+    if (!for_callers) {
+        return for_callers;
     }
-    return core::ok();
+    return wire::open_listener(peer_listener_, context_.settings.peer_address);
 }
 
 core::task<core::result<void>> entry_node::run()
--- a/src/entry/resourcefront.cpp
+++ b/src/entry/resourcefront.cpp
@@ -1,6 +1,7 @@
 #include "entry/resourcefront.h"
 
 #include "core/eventlog.h"
+#include "core/text.h"
 #include "entry/entryconstants.h"
 #include "entry/internal/answerjson.h"
 #include "platform/platformconstants.h"
@@ -15,17 +16,6 @@
 
 constexpr std::string_view api_root = "/api/v1/";
 
-std::vector<std::string> parts_of(std::string_view path)
-{
-    std::vector<std::string> parts;
-    std::istringstream text{std::string(path)};
-    std::string part;
-    while (std::getline(text, part, '/')) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 std::optional<core::revision> version_in(const http::request& received)
 {
     const std::optional<std::string> text = received.query("version");
@@ -92,7 +82,8 @@
 
 core::task<http::response> resource_front::answer(const http::request& received)
 {
-    const std::vector<std::string> parts = parts_of(received.path().substr(api_root.size()));
+    const std::vector<std::string> parts =
+        core::split(std::string(received.path().substr(api_root.size())), '/');
     const bool drain = parts.size() == 3 && parts[0] == "Host" && parts[2] == "drain";
     if (drain && received.method == "POST") {
         co_return co_await drain_host(parts[1]);
--- a/src/expertmaps/groupcoordinator.h
+++ b/src/expertmaps/groupcoordinator.h
@@ -7,6 +7,7 @@
 #include "expertmaps/fenceclaim.h"
 #include "expertmaps/groupmembers.h"
 #include "expertmaps/popularity.h"
+#include "expertmaps/samplecollector.h"
 #include "expertmaps/switchleader.h"
 #include "expertmaps/switchparticipant.h"
 #include "wire/framedconnection.h"
@@ -70,14 +71,12 @@
     core::task<rank_answer> carry_out(rank_order order);
     core::task<void> carry_out_locally(rank_order order);
     void take_answer(const rank_answer& answer);
-    void take_report(const rank_report& report);
     rank_report own_report() const;
     bool lower_candidate_lives() const;
     core::task<void> claim_leadership();
     void lead(core::time_point now);
     void plan_next(core::time_point now);
     void send(std::vector<addressed_order> orders);
-    std::optional<group_sample> collect(core::time_point now);
     void log_plan(const plan& p) const;
 
     core::asio::any_io_executor executor_;
@@ -105,8 +104,7 @@
     std::optional<planner> planner_;
     std::optional<popularity_tracker> popularity_;
     expert_map present_;
-    std::map<std::uint32_t, rank_report> reports_;
-    std::map<std::uint32_t, std::vector<double>> counted_;
+    std::optional<sample_collector> samples_;
     core::time_point next_plan_;
     core::time_point next_sample_;
     core::time_point quiet_since_;
@@ -138,6 +136,7 @@
         planner_.emplace(configuration_.options);
         popularity_.emplace(configuration_.options.shape.experts,
                             configuration_.options.shape.ranks);
+        samples_.emplace(configuration_.options.shape);
         present_ = initial_map(configuration_.options.shape);
         leader_.reset();
     }
@@ -372,7 +371,7 @@
                 self.take_answer(answer.value());
             }
             if (report) {
-                self.take_report(report.value());
+                self.samples_->take(report.value());
             }
         }
     }(*this, *connection);
@@ -504,14 +503,6 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
-void group_coordinator<Platform, Engine>::take_report(const rank_report& report)
-{
-    if (report.rank < configuration_.options.shape.ranks) {
-        reports_[report.rank] = report;
-    }
-}
-
 template <platform::platform_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::lead(core::time_point now)
 {
@@ -532,7 +523,8 @@
     }
     if (now >= next_sample_) {
         next_sample_ = now + pace_.report;
-        const std::optional<group_sample> sample = collect(now);
+        samples_->take(own_report());
+        const std::optional<group_sample> sample = samples_->collect(present_, now);
         if (sample) {
             const core::result<void> taken = popularity_->add(*sample, now);
             core::counter_for(taken ? "group_samples_taken_total" : "group_samples_ignored_total")
@@ -545,37 +537,6 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
-std::optional<group_sample> group_coordinator<Platform, Engine>::collect(core::time_point now)
-{
-    take_report(own_report());
-    const map_shape& shape = configuration_.options.shape;
-    if (reports_.size() < shape.ranks) {
-        return std::nullopt;
-    }
-    group_sample sample;
-    sample.at = now;
-    sample.expert_tokens.assign(shape.experts, 0);
-    for (const std::pair<const std::uint32_t, rank_report>& entry : reports_) {
-        const std::vector<double>& total = entry.second.expert_tokens;
-        if (total.size() != shape.experts) {
-            return std::nullopt;
-        }
-        std::vector<double>& before = counted_[entry.first];
-        before.resize(shape.experts, 0);
-        for (std::size_t i = 0; i < total.size(); ++i) {
-            // A count that went back belongs to a restarted engine.
-            sample.expert_tokens[i] += total[i] >= before[i] ? total[i] - before[i] : total[i];
-        }
-        before = total;
-        sample.at = std::min(sample.at, now - entry.second.age);
-        sample.rank_step_times.push_back(entry.second.step_time);
-    }
-    sample.rank_tokens = rank_times(present_, sample.expert_tokens, {});
-    reports_.clear();
-    return sample;
-}
-
 template <platform::platform_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::plan_next(core::time_point now)
 {
--- a/src/membership/peerhub.cpp
+++ b/src/membership/peerhub.cpp
@@ -99,17 +99,8 @@
 
 core::task<core::result<peer_hello>> peer_hub::greet(wire::framed_connection& connection)
 {
-    core::task<core::result<std::string>> reading =
-        [](wire::framed_connection& c) -> core::task<core::result<std::string>> {
-        std::variant<core::result<std::string>, std::monostate> first =
-            co_await (c.receive() || c.write_loop());
-        if (first.index() == 1) {
-            co_return error{errc::closed, "the connection failed"};
-        }
-        co_return std::get<0>(std::move(first));
-    }(connection);
-    const core::result<std::string> frame = co_await core::with_deadline(
-        std::move(reading), core::runtime_clock::now() + peer_hello_timeout);
+    const core::result<std::string> frame =
+        co_await wire::receive_first(connection, core::runtime_clock::now() + peer_hello_timeout);
     if (!frame) {
         co_return frame.error();
     }
--- a/src/sessions/agentlink.cpp
+++ b/src/sessions/agentlink.cpp
@@ -71,17 +71,7 @@
     connection_ = std::make_unique<wire::framed_connection>(std::move(socket.value()));
     const hello h{own_host_, own_, book_.begin_session(), book_.settled_below()};
     connection_->send(wire::encode(h));
-    core::task<core::result<std::string>> reading =
-        [](wire::framed_connection& c) -> core::task<core::result<std::string>> {
-        std::variant<core::result<std::string>, std::monostate> first =
-            co_await (c.receive() || c.write_loop());
-        if (first.index() == 1) {
-            co_return error{errc::closed, "the connection failed"};
-        }
-        co_return std::get<0>(std::move(first));
-    }(*connection_);
-    const core::result<std::string> frame =
-        co_await core::with_deadline(std::move(reading), deadline);
+    const core::result<std::string> frame = co_await wire::receive_first(*connection_, deadline);
     if (!frame) {
         co_return frame.error();
     }
--- a/src/wire/framedconnection.cpp
+++ b/src/wire/framedconnection.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <charconv>
+#include <sstream>
 
 namespace currantpitch::wire {
 
@@ -138,6 +139,44 @@
     co_return std::move(socket);
 }
 
+core::task<core::result<std::string>> receive_first(framed_connection& connection,
+                                                    core::time_point deadline)
+{
+    core::task<core::result<std::string>> reading =
+        [](framed_connection& c) -> core::task<core::result<std::string>> {
+        using namespace asio::experimental::awaitable_operators;
+        std::variant<core::result<std::string>, std::monostate> first =
+            co_await (c.receive() || c.write_loop());
+        if (first.index() == 1) {
+            co_return error{errc::closed, "the connection failed"};
+        }
+        co_return std::get<0>(std::move(first));
+    }(connection);
+    co_return co_await core::with_deadline(std::move(reading), deadline);
+}
+
+core::result<void> open_listener(asio::ip::tcp::acceptor& acceptor,
+                                 const asio::ip::tcp::endpoint& address)
+{
+    boost::system::error_code failure;
+    acceptor.open(address.protocol(), failure);
+    if (!failure) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    }
+    if (!failure) {
+        acceptor.bind(address, failure);
+    }
+    if (!failure) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+        std::ostringstream text;
+        text << address << ": " << failure.message();
+        return error{errc::unavailable, text.str()};
+    }
+    return core::ok();
+}
+
 core::result<asio::ip::tcp::endpoint> parse_address(const std::string& text)
 {
     const std::size_t colon = text.rfind(':');
--- a/src/wire/framedconnection.h
+++ b/src/wire/framedconnection.h
@@ -50,6 +50,14 @@
 core::task<core::result<core::asio::ip::tcp::socket>> connect(core::asio::ip::tcp::endpoint address,
                                                               core::time_point deadline);
 
+/// Writes what is queued and returns the first frame that arrives before the deadline.
+core::task<core::result<std::string>> receive_first(framed_connection& connection,
+                                                    core::time_point deadline);
+
+/// Opens a listener on the address; errc::unavailable when the address cannot be used.
+core::result<void> open_listener(core::asio::ip::tcp::acceptor& acceptor,
+                                 const core::asio::ip::tcp::endpoint& address);
+
 /// Parses "a.b.c.d:port"; errc::invalid_argument otherwise.
 core::result<core::asio::ip::tcp::endpoint> parse_address(const std::string& text);
 
--- a/tests/fakes/platformserver.cpp
+++ b/tests/fakes/platformserver.cpp
@@ -1,5 +1,6 @@
 #include "fakes/platformserver.h"
 
+#include "core/text.h"
 #include "platform/internal/platformcodec.h"
 #include "platform/platformconstants.h"
 
@@ -14,13 +15,7 @@
 
 std::vector<std::string> kinds_of(const http::request& received)
 {
-    std::vector<std::string> kinds;
-    std::istringstream list(received.query("kinds").value_or(""));
-    std::string kind;
-    while (std::getline(list, kind, ',')) {
-        kinds.push_back(kind);
-    }
-    return kinds;
+    return core::split(received.query("kinds").value_or(""), ',');
 }
 
 core::revision revision_of(const http::request& received, std::string_view name)
