Measure capacity, lighten reports and peers, give each test listener its own address

Cause: a leader of 128 ranks would receive 295 KB/s of reports; a relay sent heartbeats beside its statuses; and tst_entry hung once in a ctest run and once in 24 parallel runs, always while other programs were opening ports. The site took a free port by opening and closing it, which another process can take before the daemon listens. Change: reports of whole counts each 5 s (16.6 KB/s worked out); heartbeats only on quiet peer links; 16 endpoints of a service for each entry; listeners of the test site on loopback addresses of their own, and a listener that cannot open fails the test at once.

--- a/bench/decisions/slopesbench.cpp
+++ b/bench/decisions/slopesbench.cpp
@@ -7,6 +7,7 @@
 #include "expertmaps/planner.h"
 #include "intents/catalog.h"
 #include "intents/disseminator.h"
+#include "intents/synctopology.h"
 #include "membership/addressanswer.h"
 #include "membership/presencetable.h"
 #include "routing/endpointpool.h"
@@ -276,6 +277,17 @@
         membership::answer_addresses(question, entries);
         return watch.nanoseconds();
     });
+    add_time(report, "relays and peers after a change, per entry known", {300, 600, 1200, 2400},
+             [](std::size_t n) {
+                 std::vector<intents::sync_member> members;
+                 for (std::size_t i = 0; i < n; ++i) {
+                     members.push_back({core::host_id("entry-" + std::to_string(i)),
+                                        core::failure_domain_id("fd-" + std::to_string(i % 22))});
+                 }
+                 const stopwatch watch;
+                 intents::peers_to_dial(members.front(), members);
+                 return watch.nanoseconds();
+             });
     add_memory(report, "presence per process observed", {500, 1000, 2000, 4000}, [](std::size_t n) {
         std::unique_ptr<membership::presence_table> table =
             std::make_unique<membership::presence_table>(core::host_id("self"),
--- a/src/expertmaps/expertmapsconstants.h
+++ b/src/expertmaps/expertmapsconstants.h
@@ -49,6 +49,8 @@
 /// Largest token count that a report may carry.
 inline constexpr double most_tokens = 1e15;
 
+/// Interval of the ranks' load reports to the leader.
+inline constexpr std::chrono::seconds report_interval{5};
 /// Interval at which a leader plans.
 inline constexpr std::chrono::seconds planning_period{10};
 /// Time between a prepare and its step, and the fewest steps it must cover.
--- a/src/expertmaps/groupcoordinator.h
+++ b/src/expertmaps/groupcoordinator.h
@@ -25,7 +25,7 @@
 /// Paces of a coordinator, shorter in tests.
 struct coordinator_pace {
     std::chrono::milliseconds planning = planning_period;
-    std::chrono::milliseconds report{1000};
+    std::chrono::milliseconds report = report_interval;
     std::chrono::milliseconds tick{100};
     std::chrono::milliseconds leader_silence = leader_silence_limit;
 };
@@ -255,11 +255,16 @@
 group_coordinator<Platform, Engine>::member_write(wire::framed_connection& connection)
 {
     const core::incarnation engine_life = status_.incarnation;
+    core::time_point next_report = core::runtime_clock::now();
     while (!connection.closed() && !stopped_ && status_.incarnation == engine_life) {
         if (core::runtime_clock::now() - connection.last_received() > wire::silence_limit) {
             co_return;
         }
-        connection.send(wire::encode(own_report()));
+        if (core::runtime_clock::now() >= next_report) {
+            connection.send(wire::encode(own_report()));
+            next_report = core::runtime_clock::now() + pace_.report;
+        }
+        connection.send(wire::encode(group_beat{}));
         co_await core::sleep_for(std::min<core::duration>(pace_.report, wire::heartbeat_interval));
     }
 }
@@ -267,8 +272,8 @@
 template <platform::platform_client Platform, rank_engine Engine>
 rank_report group_coordinator<Platform, Engine>::own_report() const
 {
-    return {own_rank_.value_or(0), status_.step, status_.expert_tokens, status_.step_time,
-            status_.age};
+    return {own_rank_.value_or(0), status_.step, whole_counts(status_.expert_tokens),
+            status_.step_time, status_.age};
 }
 
 // One order at a time reaches the engine, and each is confirmed before the next.
--- a/src/expertmaps/samplecollector.h
+++ b/src/expertmaps/samplecollector.h
@@ -11,6 +11,9 @@
 
 namespace currantpitch::expertmaps {
 
+/// Whole counts from what an engine reported; impossible ones count as 0.
+std::vector<std::uint64_t> whole_counts(const std::vector<double>& reported);
+
 /// Makes samples for the popularity tracker from the reports of a group's ranks, whose counts run
 /// from the start of each engine on.
 class sample_collector {
@@ -25,7 +28,7 @@
 private:
     map_shape shape_;
     std::map<std::uint32_t, rank_report> reports_;
-    std::map<std::uint32_t, std::vector<double>> counted_;
+    std::map<std::uint32_t, std::vector<std::uint64_t>> counted_;
 };
 
 } // namespace currantpitch::expertmaps
--- a/src/expertmaps/switchmessages.h
+++ b/src/expertmaps/switchmessages.h
@@ -157,7 +157,7 @@
     std::uint32_t rank = 0;
     core::step_number step;
     /// Tokens routed to each expert by this rank since the engine started.
-    std::vector<double> expert_tokens;
+    std::vector<std::uint64_t> expert_tokens;
     std::chrono::nanoseconds step_time{};
     std::chrono::milliseconds age{};
 };
--- a/src/expertmaps/tests/tst_planner.cpp
+++ b/src/expertmaps/tests/tst_planner.cpp
@@ -1,6 +1,7 @@
 #include "expertmaps/expertmapsconstants.h"
 #include "expertmaps/planner.h"
 #include "expertmaps/popularity.h"
+#include "expertmaps/samplecollector.h"
 
 #include "support/rapidcheck.h"
 
--- a/src/membership/peerhub.cpp
+++ b/src/membership/peerhub.cpp
@@ -154,7 +154,11 @@
             core::counter_for("peers_silent_total").add();
             co_return;
         }
-        connection.send(wire::encode(peer_beat{leaving_}));
+        // Any frame shows that this process lives; the word that it leaves must always go out.
+        const core::duration quiet = core::runtime_clock::now() - connection.last_queued();
+        if (leaving_ || quiet >= wire::heartbeat_interval) {
+            connection.send(wire::encode(peer_beat{leaving_}));
+        }
         co_await core::sleep_for(wire::heartbeat_interval);
     }
 }
--- a/src/routing/routingconstants.h
+++ b/src/routing/routingconstants.h
@@ -16,7 +16,7 @@
 /// Random draws before all endpoints are looked at.
 inline constexpr int random_draws = 8;
 /// Endpoints of one service that one entry uses at the most.
-inline constexpr std::size_t max_endpoints_per_service = 32;
+inline constexpr std::size_t max_endpoints_per_service = 16;
 /// Time without progress after which a generation is moved to another endpoint.
 inline constexpr std::chrono::milliseconds progress_limit{3000};
 /// Attempts for one generation, the first included.
--- a/src/wire/framedconnection.cpp
+++ b/src/wire/framedconnection.cpp
@@ -82,6 +82,7 @@
         close();
         return false;
     }
+    last_queued_ = core::runtime_clock::now();
     queued_bytes_ += payload.size();
     queue_.push_back(std::move(payload));
     work_.notify();
--- a/src/wire/framedconnection.h
+++ b/src/wire/framedconnection.h
@@ -31,6 +31,8 @@
     bool closed() const { return closed_; }
     /// When the last frame arrived.
     core::time_point last_received() const { return last_received_; }
+    /// When the last frame was queued.
+    core::time_point last_queued() const { return last_queued_; }
     /// Bytes written and read on this connection, frame heads included.
     std::uint64_t bytes_sent() const { return bytes_sent_; }
     std::uint64_t bytes_received() const { return bytes_received_; }
@@ -43,6 +45,7 @@
     std::uint64_t bytes_sent_ = 0;
     std::uint64_t bytes_received_ = 0;
     core::time_point last_received_;
+    core::time_point last_queued_;
     bool closed_ = false;
 };
 
--- a/tests/support/localsite.h
+++ b/tests/support/localsite.h
@@ -11,11 +11,16 @@
 #include <boost/json.hpp>
 
 #include <memory>
+#include <stdexcept>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace currantpitch::testing {
 
+/// Port of every listener of a local site.
+inline constexpr std::uint16_t site_port = 18080;
+
 /// A whole installation on loopback within one thread: a platform, a model group with an agent for
 /// each rank, a plain service with its agent, and entries.
 class local_site {
@@ -28,22 +33,22 @@
                                                         .step_time = std::chrono::milliseconds(2)}),
           platform_server_(store)
     {
-        platform_port_ = listen_with(platform_server_);
+        platform_address_ = listen_with(platform_server_);
         core::spawn(executor(), group.run_steps());
         for (std::size_t i = 0; i < ranks; ++i) {
             rank_handlers_.push_back(std::make_unique<rank_handler>(rank_handler{&group, i}));
-            const std::uint16_t port = listen_with(*rank_handlers_.back());
-            settings::daemon_settings s = agent_settings("agent-" + std::to_string(i), port);
+            const settings::address address = listen_with(*rank_handlers_.back());
+            settings::daemon_settings s = agent_settings("agent-" + std::to_string(i), address);
             s.endpoint_name = core::endpoint_id("rank-" + std::to_string(i));
             engine_agents.push_back(std::make_unique<engine_agent>(executor(), s, 100 + i));
-            core::spawn_then(executor(), engine_agents.back()->run(), [](core::result<void>) {});
+            core::spawn_then(executor(), engine_agents.back()->run(), check_end);
         }
-        const std::uint16_t service_port = listen_with(service);
-        settings::daemon_settings s = agent_settings("agent-service", service_port);
+        const settings::address desk = listen_with(service);
+        settings::daemon_settings s = agent_settings("agent-service", desk);
         s.endpoint = settings::endpoint_type::service;
         s.endpoint_name = core::endpoint_id("desk");
         service_agent_ = std::make_unique<service_agent>(executor(), s, 200);
-        core::spawn_then(executor(), service_agent_->run(), [](core::result<void>) {});
+        core::spawn_then(executor(), service_agent_->run(), check_end);
         for (std::size_t i = 0; i < entry_count; ++i) {
             start_entry(i);
         }
@@ -94,33 +99,40 @@
         }
     };
 
-    static std::uint16_t free_port()
+    // Every listener has a loopback address of its own, so that no port can be taken by another
+    // process or by an outgoing connection.
+    static settings::address next_address()
     {
-        core::asio::io_context scratch{1};
-        core::asio::ip::tcp::acceptor probe(
-            scratch, core::asio::ip::tcp::endpoint(core::asio::ip::make_address("127.0.0.1"), 0));
-        return probe.local_endpoint().port();
+        static std::uint32_t last = 0;
+        const std::uint32_t process = static_cast<std::uint32_t>(getpid());
+        const std::uint32_t host = (process & 0x3fff) << 9 | (++last & 0x1ff);
+        const core::asio::ip::address_v4 address(0x7f000000U | 0x800000U | host);
+        return {address, site_port};
     }
-    static settings::address local(std::uint16_t port)
+    static void check_end(const core::result<void>& ended)
     {
-        return {core::asio::ip::make_address("127.0.0.1"), port};
+        if (!ended) {
+            throw std::runtime_error("a process of the site cannot run: " + ended.error().detail);
+        }
     }
     template <class Handler>
-    std::uint16_t listen_with(Handler& handler)
+    settings::address listen_with(Handler& handler)
     {
-        listeners_.push_back(std::make_unique<core::asio::ip::tcp::acceptor>(context, local(0)));
+        listeners_.push_back(
+            std::make_unique<core::asio::ip::tcp::acceptor>(context, next_address()));
         core::spawn(executor(), http::serve(*listeners_.back(), handler));
-        return listeners_.back()->local_endpoint().port();
+        return listeners_.back()->local_endpoint();
     }
-    settings::daemon_settings agent_settings(const std::string& host, std::uint16_t endpoint_port)
+    settings::daemon_settings agent_settings(const std::string& host,
+                                             const settings::address& endpoint)
     {
         settings::daemon_settings s;
         s.role = settings::process_role::agent;
         s.host = core::host_id(host);
         s.failure_domain = core::failure_domain_id("fd-a");
-        s.peer_address = local(free_port());
-        s.platform_address = local(platform_port_);
-        s.endpoint_address = local(endpoint_port);
+        s.peer_address = next_address();
+        s.platform_address = platform_address_;
+        s.endpoint_address = endpoint;
         return s;
     }
     void start_entry(std::size_t i)
@@ -128,18 +140,18 @@
         settings::daemon_settings s;
         s.host = core::host_id("entry-" + std::to_string(i));
         s.failure_domain = core::failure_domain_id("fd-" + std::to_string(i));
-        s.peer_address = local(free_port());
-        s.caller_address = local(free_port());
-        s.platform_address = local(platform_port_);
+        s.peer_address = next_address();
+        s.caller_address = next_address();
+        s.platform_address = platform_address_;
         s.address_lifetime = std::chrono::milliseconds(1000);
         s.stop_timeout = std::chrono::seconds(20);
         entry_addresses_.push_back(s.caller_address);
         entries.push_back(std::make_unique<entry::entry_node>(executor(), s, 300 + i));
-        core::spawn_then(executor(), entries.back()->run(), [](core::result<void>) {});
+        core::spawn_then(executor(), entries.back()->run(), check_end);
     }
 
     fakes::platform_server platform_server_;
-    std::uint16_t platform_port_ = 0;
+    settings::address platform_address_;
     std::vector<std::unique_ptr<rank_handler>> rank_handlers_;
     std::vector<std::unique_ptr<core::asio::ip::tcp::acceptor>> listeners_;
     std::unique_ptr<service_agent> service_agent_;
