Keep replaced objects out although an old tombstone is held

Versions went up, but a deleted object was in force again. Change: nothing at or below the complete revision is taken, except from a full set that is at least as new, which repairs a missed change.

--- a/src/intents/replica.cpp
+++ b/src/intents/replica.cpp
@@ -39,12 +39,16 @@
     }
 }
 
+bool replica::newer_than_held(const object& o) const
+{
+    const std::map<object_key, object>::const_iterator found = objects_.find(o.key);
+    return found == objects_.end() || o.version > found->second.version;
+}
+
 bool replica::apply(const object& o)
 {
-    const std::map<object_key, object>::iterator found = objects_.find(o.key);
-    // What is complete up to here and not held has been deleted since.
-    const core::revision floor = found == objects_.end() ? complete_ : found->second.version;
-    if (o.version <= floor) {
+    // Of what is complete, all that is not held has been replaced or deleted since.
+    if (o.version <= complete_ || !newer_than_held(o)) {
         return false;
     }
     store(o);
@@ -71,9 +75,8 @@
 {
     std::vector<object> applied;
     for (const object& o : changes.objects) {
-        const std::map<object_key, object>::iterator found = objects_.find(o.key);
         // A full set repairs a replica that missed a change below its complete revision.
-        const bool repairs = changes.full && found == objects_.end() && changes.to >= complete_;
+        const bool repairs = changes.full && changes.to >= complete_ && newer_than_held(o);
         if (repairs) {
             store(o);
             applied.push_back(o);
--- a/src/intents/replica.h
+++ b/src/intents/replica.h
@@ -48,6 +48,7 @@
 
 private:
     void store(const platform::object& o);
+    bool newer_than_held(const platform::object& o) const;
     std::vector<platform::object_key> missing_from(const change_set& full) const;
 
     std::map<platform::object_key, platform::object> objects_;
--- a/src/intents/tests/tst_replica.cpp
+++ b/src/intents/tests/tst_replica.cpp
@@ -99,6 +99,18 @@
     CHECK(r.apply(version_of("b", 11)));
 }
 
+TEST(replicas, old_tombstone_does_not_let_a_replaced_object_back_in)
+{
+    replica r;
+    CHECK(r.apply(version_of("a", 1)));
+    CHECK(r.apply(version_of("a", 3, true)));
+    // Created again as 4 and deleted as 6, which the set shows by absence only.
+    r.apply(change_set{{}, core::revision{6}, true, {}});
+    r.apply(change_set{{}, core::revision{5}, true, {version_of("a", 4)}});
+    CHECK(r.find({"Workspace", "a"}) == nullptr);
+    CHECK(!r.apply(version_of("a", 4)));
+}
+
 TEST(replicas, changes_with_a_gap_do_not_count_as_complete)
 {
     replica r;
