Mend lint findings

Cause: check-lint in a fresh clone failed on four files added since its last run. Change: an explicit conversion, a missing include, a result that can be moved, one branch instead of two alike. Seen: lint clean over 40 files.

--- a/src/expertmaps/expertmap.cpp
+++ b/src/expertmaps/expertmap.cpp
@@ -87,7 +87,8 @@
         const holding& h = holders[i];
         const double part =
             i < used ? std::max(level * speed_of(speeds, h.rank) - loads[h.rank], 0.0) : 0;
-        map.ranks[h.rank][h.slot].weight = tokens > 0 ? part / tokens : 1.0 / holders.size();
+        map.ranks[h.rank][h.slot].weight =
+            tokens > 0 ? part / tokens : 1.0 / static_cast<double>(holders.size());
         loads[h.rank] += part;
     }
 }
--- a/src/expertmaps/popularity.cpp
+++ b/src/expertmaps/popularity.cpp
@@ -74,7 +74,7 @@
 
 core::result<void> popularity_tracker::add(const group_sample& sample, core::time_point now)
 {
-    const core::result<void> fits = check(sample, now);
+    core::result<void> fits = check(sample, now);
     if (!fits) {
         ++rejected_;
         return fits;
--- a/src/expertmaps/switchleader.cpp
+++ b/src/expertmaps/switchleader.cpp
@@ -149,11 +149,8 @@
     case leader_phase::aborting:
         // An abort is only refused by what an earlier leader committed: ask everybody again.
         return send_all(leader_phase::querying, now);
-    case leader_phase::settling:
-    case leader_phase::committing:
-        // The rank lost its state: the next repetition tells it the group's.
-        return {};
     default:
+        // A rank that lost its state is told the group's by the next repetition.
         return {};
     }
 }
--- a/src/membership/presencetable.h
+++ b/src/membership/presencetable.h
@@ -3,6 +3,7 @@
 #include "membership/membershipmessages.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace currantpitch::membership {
