Let the model's watch carry everything when the faults end

The harness read one event a round, so 60 rounds could not bring 65; no process had stopped. A real watch carries what there is. Change: the recovery reads each watch to its end; rounds and check stay as they were.

--- a/src/intents/tests/tst_dissemination.cpp
+++ b/src/intents/tests/tst_dissemination.cpp
@@ -87,6 +87,13 @@
             check(i);
         }
     }
+    // A watch carries all that there is; nothing makes it stop after one event.
+    void read_watch_to_its_end(std::size_t i)
+    {
+        for (std::size_t n = 0; n <= store_.size(); ++n) {
+            read_watch(i);
+        }
+    }
     void list(std::size_t i)
     {
         std::map<platform::object_key, platform::object> present;
@@ -265,7 +272,7 @@
     for (int round = 0; round < 60 && !(world.converged() && world.in_flight() == 0); ++round) {
         world.now += status_interval;
         for (std::size_t i = 0; i < world.size(); ++i) {
-            world.read_watch(i);
+            world.read_watch_to_its_end(i);
             world.send_statuses(i);
         }
         for (int i = 0; i < 2000 && world.in_flight() > 0; ++i) {
