--- a/bench/decisions/disseminationbench.cpp
+++ b/bench/decisions/disseminationbench.cpp
@@ -3,7 +3,7 @@
 #include "intents/disseminator.h"
 #include "intents/intentsconstants.h"
 #include "intents/synctopology.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
 
 #include <iostream>
 #include <map>
@@ -122,7 +122,7 @@
             const std::size_t to = index_of(m.peer);
             double size = status_bytes;
             if (const intents::sync_changes* c = std::get_if<intents::sync_changes>(&m.message)) {
-                for (const platform::object& o : c->objects) {
+                for (const objectstore::object& o : c->objects) {
                     size += static_cast<double>(o.body.size() + o.key.name.size()) + 20;
                 }
             }
@@ -139,7 +139,7 @@
             accept_change();
             break;
         case sync_event::kind::watch: {
-            const platform::object& o = store_[event.to];
+            const objectstore::object& o = store_[event.to];
             send(event.from, processes_[event.from]->on_watch_event({o, o.version}, now_));
             check();
             break;
@@ -223,7 +223,7 @@
     std::pair<std::size_t, std::size_t> lossy_;
     std::size_t silent_relay_ = 0;
     std::multimap<core::time_point, sync_event> events_;
-    std::vector<platform::object> store_;
+    std::vector<objectstore::object> store_;
     std::map<std::uint64_t, core::time_point> accepted_;
     std::map<std::uint64_t, core::time_point> everywhere_;
     std::uint64_t last_everywhere_ = 0;
--- a/bench/decisions/ledgerbench.cpp
+++ b/bench/decisions/ledgerbench.cpp
@@ -1,7 +1,7 @@
 #include "decisions/ledgerbench.h"
 
 #include "actions/ledgerowner.h"
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 
 #include <deque>
 #include <iostream>
@@ -11,7 +11,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using owner_type = actions::ledger_owner<fakes::memory_platform>;
+using owner_type = actions::ledger_owner<fakes::memory_store>;
 
 constexpr std::chrono::milliseconds platform_delay = 5ms;
 constexpr std::chrono::milliseconds action_time = 300ms;
@@ -19,7 +19,7 @@
 
 struct ledger_run {
     core::asio::io_context context{1};
-    fakes::memory_platform store{context.get_executor()};
+    fakes::memory_store store{context.get_executor()};
     owner_type owner;
     std::vector<double> claim_ms;
 
--- a/bench/decisions/slopesbench.cpp
+++ b/bench/decisions/slopesbench.cpp
@@ -102,8 +102,8 @@
                 figure(line.offset, 0), figure(line.residual, 4)});
 }
 
-platform::object resource_object(const std::string& kind, const std::string& name,
-                                 std::uint64_t version, boost::json::object spec)
+objectstore::object resource_object(const std::string& kind, const std::string& name,
+                                    std::uint64_t version, boost::json::object spec)
 {
     intents::resource r;
     r.kind = *intents::kind_from_string(kind);
@@ -114,14 +114,14 @@
     return {key_of(r), core::revision{version}, to_body(r), false};
 }
 
-platform::object workspace_object(std::size_t i)
+objectstore::object workspace_object(std::size_t i)
 {
     return resource_object(
         "Workspace", "workspace-" + std::to_string(i), i + 1,
         {{"services", boost::json::array{"tutor", "enrolment"}}, {"share", 3}, {"entries", 3}});
 }
 
-platform::object endpoint_object(std::size_t i)
+objectstore::object endpoint_object(std::size_t i)
 {
     return resource_object("Endpoint", "endpoint-" + std::to_string(i), i + 1,
                            {{"service", "group-" + std::to_string(i / 128)},
@@ -132,7 +132,7 @@
                             {"concurrency", 16}});
 }
 
-platform::object host_object(std::size_t i)
+objectstore::object host_object(std::size_t i)
 {
     return resource_object("Host", "agent-" + std::to_string(i), i + 1,
                            {{"role", "agent"},
@@ -146,7 +146,7 @@
 struct held_configuration {
     intents::replica replica;
     intents::catalog catalog;
-    void take(const platform::object& o)
+    void take(const objectstore::object& o)
     {
         replica.apply(o);
         catalog.update(o);
@@ -188,13 +188,13 @@
     add_memory(report, "configuration per host", counts,
                [](std::size_t n) { return configuration_of(n, host_object); });
     add_time(report, "applying changes, per change", {500, 1000, 2000, 4000}, [](std::size_t n) {
-        std::vector<platform::object> objects;
+        std::vector<objectstore::object> objects;
         for (std::size_t i = 0; i < n; ++i) {
             objects.push_back(endpoint_object(i));
         }
         held_configuration held;
         const stopwatch watch;
-        for (const platform::object& o : objects) {
+        for (const objectstore::object& o : objects) {
             held.take(o);
         }
         return watch.nanoseconds();
--- a/src/actions/ledgerowner.h
+++ b/src/actions/ledgerowner.h
@@ -6,8 +6,8 @@
 #include "core/counters.h"
 #include "core/eventlog.h"
 #include "core/notifier.h"
-#include "platform/platformclient.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
+#include "objectstore/storeclient.h"
 
 #include <algorithm>
 #include <memory>
@@ -21,7 +21,7 @@
 
 /// Commits operations on one shard in groups, each group by one conditional write. Several owners
 /// of one shard at once are safe: the conditional write decides, and the loser reads again.
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 class ledger_owner {
 public:
     ledger_owner(Platform& store, const core::asio::any_io_executor& executor, unsigned shard,
@@ -47,9 +47,9 @@
     };
     using group = std::vector<std::shared_ptr<waiting_operation>>;
 
-    platform::call_context call(std::string_view cause) const
+    objectstore::call_context call(std::string_view cause) const
     {
-        return {cause, core::runtime_clock::now() + platform::call_timeout};
+        return {cause, core::runtime_clock::now() + objectstore::call_timeout};
     }
     core::task<void> commit_loop();
     core::task<void> commit(group members);
@@ -59,7 +59,7 @@
 
     Platform& store_;
     core::asio::any_io_executor executor_;
-    platform::object_key key_;
+    objectstore::object_key key_;
     std::mt19937_64 random_;
     shard_state state_;
     core::revision version_;
@@ -69,7 +69,7 @@
     group waiting_;
 };
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<ledger_answer>>
 ledger_owner<Platform>::carry_out(ledger_operation operation, core::time_point deadline)
 {
@@ -94,7 +94,7 @@
     co_return *mine->answer;
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<void> ledger_owner<Platform>::commit_loop()
 {
     while (!waiting_.empty()) {
@@ -109,7 +109,7 @@
     committing_ = false;
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<void> ledger_owner<Platform>::commit(group members)
 {
     core::error last{core::errc::unavailable, "the platform is away"};
@@ -147,7 +147,7 @@
         last = written.error();
         // Read again before the next try: another owner wrote, or our own write took effect.
         loaded_ = false;
-        effect_open = effect_open || platform::effect_unknown(last);
+        effect_open = effect_open || objectstore::effect_unknown(last);
     }
     core::log_event("ledger_commit_failed", core::log_event::level::warning)
         .field("shard", key_.name)
@@ -157,10 +157,10 @@
     answer_all(members, core::error{code, last.detail});
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<void>> ledger_owner<Platform>::load()
 {
-    const core::result<platform::object> found = co_await store_.get(key_, call("ledger_read"));
+    const core::result<objectstore::object> found = co_await store_.get(key_, call("ledger_read"));
     if (!found && found.error().code == core::errc::not_found) {
         state_ = shard_state();
         version_ = core::revision{};
@@ -180,10 +180,10 @@
     co_return core::ok();
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<void>> ledger_owner<Platform>::write(std::string commit_name)
 {
-    const core::result<platform::object> written = co_await store_.put(
+    const core::result<objectstore::object> written = co_await store_.put(
         key_, encode_shard(state_, commit_name), version_, call("ledger_write"));
     if (!written) {
         co_return written.error();
@@ -192,7 +192,7 @@
     co_return core::ok();
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 void ledger_owner<Platform>::answer_all(const group& members,
                                         const core::result<ledger_answer>& answer)
 {
--- a/src/actions/tests/tst_ledgermodel.cpp
+++ b/src/actions/tests/tst_ledgermodel.cpp
@@ -1,6 +1,6 @@
 #include "actions/actionrunner.h"
 #include "actions/ledgerowner.h"
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 #include "sessions/attemptbook.h"
 #include "sessions/attemptgate.h"
 
@@ -63,13 +63,13 @@
 struct entry_process {
     core::asio::io_context context{1};
     entry_links links;
-    std::unique_ptr<ledger_owner<fakes::memory_platform>> ledger;
-    std::unique_ptr<action_runner<ledger_owner<fakes::memory_platform>, entry_links>> runner;
+    std::unique_ptr<ledger_owner<fakes::memory_store>> ledger;
+    std::unique_ptr<action_runner<ledger_owner<fakes::memory_store>, entry_links>> runner;
 };
 
 struct world_state {
     core::asio::io_context context{1};
-    fakes::memory_platform store{context.get_executor()};
+    fakes::memory_store store{context.get_executor()};
     std::map<core::host_id, agent_process> agents;
     std::array<std::unique_ptr<entry_process>, entry_count> entries;
     std::uint64_t last_incarnation = 0;
@@ -125,11 +125,10 @@
         e.links.world = this;
         e.links.entry = i;
         e.links.incarnation = core::incarnation{++last_incarnation};
-        e.ledger = std::make_unique<ledger_owner<fakes::memory_platform>>(
+        e.ledger = std::make_unique<ledger_owner<fakes::memory_store>>(
             store, e.context.get_executor(), 0, last_incarnation);
-        e.runner =
-            std::make_unique<action_runner<ledger_owner<fakes::memory_platform>, entry_links>>(
-                e.context.get_executor(), *e.ledger, e.links);
+        e.runner = std::make_unique<action_runner<ledger_owner<fakes::memory_store>, entry_links>>(
+            e.context.get_executor(), *e.ledger, e.links);
         for (std::size_t agent = 0; agent < agent_count; ++agent) {
             e.links.connect(agent_name(agent));
         }
--- a/src/actions/tests/tst_ledgerowner.cpp
+++ b/src/actions/tests/tst_ledgerowner.cpp
@@ -1,5 +1,5 @@
 #include "actions/ledgerowner.h"
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 
 #include "support/pausedrun.h"
 
@@ -11,7 +11,7 @@
 
 namespace {
 
-using owner_type = ledger_owner<fakes::memory_platform>;
+using owner_type = ledger_owner<fakes::memory_store>;
 
 claim_operation claim(const std::string& name, std::uint64_t number)
 {
@@ -28,7 +28,7 @@
 TEST_GROUP(owners)
 {
     testing::paused_run run;
-    fakes::memory_platform store{run.executor()};
+    fakes::memory_store store{run.executor()};
     owner_type first{store, run.executor(), 0, 1};
     owner_type second{store, run.executor(), 0, 2};
 
--- a/src/agent/agentconfiguration.cpp
+++ b/src/agent/agentconfiguration.cpp
@@ -7,8 +7,8 @@
 bool agent_configuration_store::take(const intents::agent_configuration& message)
 {
     bool changed = false;
-    std::set<platform::object_key> named;
-    for (const platform::object& o : message.objects) {
+    std::set<objectstore::object_key> named;
+    for (const objectstore::object& o : message.objects) {
         named.insert(o.key);
         core::revision& held = versions_[o.key];
         if (o.version > held) {
@@ -22,9 +22,9 @@
     }
     revision_ = message.complete;
     // The newest message names everything that concerns the agent; the rest is gone.
-    for (const std::pair<const platform::object_key, core::revision>& entry : versions_) {
+    for (const std::pair<const objectstore::object_key, core::revision>& entry : versions_) {
         if (!named.contains(entry.first)) {
-            catalog_.update(platform::object{entry.first, entry.second, "", true});
+            catalog_.update(objectstore::object{entry.first, entry.second, "", true});
             changed = true;
         }
     }
--- a/src/agent/agentconfiguration.h
+++ b/src/agent/agentconfiguration.h
@@ -20,7 +20,7 @@
     core::revision revision() const { return revision_; }
 
 private:
-    std::map<platform::object_key, core::revision> versions_;
+    std::map<objectstore::object_key, core::revision> versions_;
     intents::catalog catalog_;
     core::revision revision_;
 };
--- a/src/agent/agentnode.h
+++ b/src/agent/agentnode.h
@@ -7,7 +7,7 @@
 #include "core/eventlog.h"
 #include "endpoints/guardedendpoint.h"
 #include "intents/hostregistration.h"
-#include "platform/httpplatform.h"
+#include "objectstore/httpstore.h"
 #include "sessions/entrysession.h"
 #include "settings/daemonsettings.h"
 
@@ -54,7 +54,7 @@
     core::asio::any_io_executor executor_;
     settings::daemon_settings settings_;
     core::incarnation incarnation_;
-    platform::http_platform store_;
+    objectstore::http_store store_;
     endpoints::endpoint_gate gate_;
     Backend backend_;
     endpoints::guarded_endpoint<Backend> endpoint_;
--- a/src/agent/grouprole.h
+++ b/src/agent/grouprole.h
@@ -3,7 +3,7 @@
 #include "agent/engineorders.h"
 #include "endpoints/httpservice.h"
 #include "expertmaps/groupcoordinator.h"
-#include "platform/httpplatform.h"
+#include "objectstore/httpstore.h"
 
 namespace currantpitch::agent {
 
@@ -11,7 +11,7 @@
 template <class Backend>
 class group_role {
 public:
-    group_role(const core::asio::any_io_executor&, platform::http_platform&, Backend&,
+    group_role(const core::asio::any_io_executor&, objectstore::http_store&, Backend&,
                core::host_id, core::incarnation)
     {
     }
@@ -28,7 +28,7 @@
 template <>
 class group_role<endpoints::http_engine> {
 public:
-    group_role(const core::asio::any_io_executor& executor, platform::http_platform& store,
+    group_role(const core::asio::any_io_executor& executor, objectstore::http_store& store,
                endpoints::http_engine& engine, core::host_id host, core::incarnation own)
         : orders_(engine), coordinator_(executor, store, orders_, std::move(host), own)
     {
@@ -53,7 +53,7 @@
 
 private:
     engine_orders orders_;
-    expertmaps::group_coordinator<platform::http_platform, engine_orders> coordinator_;
+    expertmaps::group_coordinator<objectstore::http_store, engine_orders> coordinator_;
 };
 
 } // namespace currantpitch::agent
--- a/src/agent/tests/tst_agent.cpp
+++ b/src/agent/tests/tst_agent.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-platform::object endpoint_object(const std::string& name, std::uint64_t version,
-                                 const std::string& desired)
+objectstore::object endpoint_object(const std::string& name, std::uint64_t version,
+                                    const std::string& desired)
 {
     intents::resource r;
     r.kind = intents::resource_kind::endpoint;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -1,5 +1,6 @@
 #include "core/counters.h"
 
+#include <algorithm>
 #include <compare>
 #include <map>
 #include <sstream>
@@ -40,6 +41,28 @@
     }
 }
 
+void write_histograms(std::ostringstream& out)
+{
+    for (const std::pair<const series_key, histogram>& entry : all<histogram>()) {
+        const std::string name = "currantpitch_" + entry.first.name;
+        const std::string label = entry.first.label;
+        const std::string comma = label.empty() ? "" : ",";
+        const std::string braced = label.empty() ? "" : "{" + label + "}";
+        std::uint64_t total = 0;
+        for (std::size_t i = 0; i < entry.second.counts().size(); ++i) {
+            total += entry.second.counts()[i];
+            const std::string bound =
+                i < histogram::bounds_ms.size() ? std::to_string(histogram::bounds_ms[i]) : "+Inf";
+            out << name << "_bucket{" << label << comma << "le=\"" << bound << "\"} " << total
+                << '\n';
+        }
+        out << name << "_sum" << braced << ' '
+            << std::chrono::duration_cast<std::chrono::milliseconds>(entry.second.sum()).count()
+            << '\n';
+        out << name << "_count" << braced << ' ' << total << '\n';
+    }
+}
+
 } // namespace
 
 counter& counter_for(std::string_view name, std::string_view label)
@@ -52,11 +75,25 @@
     return all<gauge>()[series_key{std::string(name), std::string(label)}];
 }
 
+void histogram::add(std::chrono::nanoseconds d)
+{
+    const std::int64_t ms = std::chrono::ceil<std::chrono::milliseconds>(d).count();
+    const auto bound = std::lower_bound(bounds_ms.begin(), bounds_ms.end(), ms);
+    ++counts_[static_cast<std::size_t>(bound - bounds_ms.begin())];
+    sum_ += d;
+}
+
+histogram& histogram_for(std::string_view name, std::string_view label)
+{
+    return all<histogram>()[series_key{std::string(name), std::string(label)}];
+}
+
 std::string metrics_text()
 {
     std::ostringstream out;
     write<counter>(out, "counter");
     write<gauge>(out, "gauge");
+    write_histograms(out);
     return out.str();
 }
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -26,13 +28,32 @@
     double value_ = 0;
 };
 
+/// Distribution of durations over fixed bounds, in milliseconds.
+class histogram {
+public:
+    static constexpr std::array<std::int64_t, 12> bounds_ms{1,   2,   5,   10,   20,   50,
+                                                            100, 200, 500, 1000, 2000, 5000};
+
+    void add(std::chrono::nanoseconds d);
+    /// Observations up to bounds_ms[i], not counting those of smaller bounds; the last is the rest.
+    const std::array<std::uint64_t, bounds_ms.size() + 1>& counts() const { return counts_; }
+    std::chrono::nanoseconds sum() const { return sum_; }
+
+private:
+    std::array<std::uint64_t, bounds_ms.size() + 1> counts_{};
+    std::chrono::nanoseconds sum_{};
+};
+
 /// The counter of that name and label; created at first use. The label is written as
 /// key="value", or empty.
 counter& counter_for(std::string_view name, std::string_view label = {});
 /// The gauge of that name and label; created at first use.
 gauge& gauge_for(std::string_view name, std::string_view label = {});
 
-/// All counters and gauges in the Prometheus text form.
+/// The histogram of that name and label; created at first use.
+histogram& histogram_for(std::string_view name, std::string_view label = {});
+
+/// All counters, gauges and histograms in the Prometheus text form.
 std::string metrics_text();
 
 } // namespace currantpitch::core
--- a/src/core/eventlog.cpp
+++ b/src/core/eventlog.cpp
@@ -1,5 +1,8 @@
 #include "core/eventlog.h"
 
+#include "core/logbuffer.h"
+#include "core/runtimeclock.h"
+
 #include <glog/logging.h>
 
 namespace currantpitch::core {
@@ -7,6 +10,20 @@
 namespace {
 
 bool silenced = false;
+log_buffer* installed_buffer = nullptr;
+
+std::string_view to_string(log_event::level severity)
+{
+    switch (severity) {
+    case log_event::level::info:
+        return "info";
+    case log_event::level::warning:
+        return "warning";
+    case log_event::level::error:
+        break;
+    }
+    return "error";
+}
 
 bool needs_quotes(std::string_view value)
 {
@@ -38,6 +55,13 @@
     if (silenced) {
         return;
     }
+    if (installed_buffer != nullptr) {
+        const std::string head =
+            "t=" + std::to_string(runtime_clock::wall_now().time_since_epoch().count()) +
+            " level=" + std::string(to_string(severity_)) + " ";
+        installed_buffer->append(head + line_);
+        return;
+    }
     switch (severity_) {
     case level::info:
         LOG(INFO) << line_;
@@ -62,6 +86,11 @@
     return *this;
 }
 
+void set_log_buffer(log_buffer* buffer)
+{
+    installed_buffer = buffer;
+}
+
 void silence_log()
 {
     silenced = true;
--- a/src/core/runtimeclock.h
+++ b/src/core/runtimeclock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace currantpitch::core {
 
@@ -32,4 +33,10 @@
 using duration = runtime_clock::duration;
 using wall_time = runtime_clock::wall_time;
 
+/// Whole milliseconds of a duration, for logs and messages.
+inline std::int64_t to_milliseconds(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 } // namespace currantpitch::core
--- a/src/core/timer.h
+++ b/src/core/timer.h
@@ -35,6 +35,9 @@
 task<result<T>> with_deadline(task<result<T>> operation, time_point deadline)
 {
     using namespace asio::experimental::awaitable_operators;
+    if (deadline == time_point::max()) {
+        co_return co_await std::move(operation);
+    }
     timer limit(co_await asio::this_coro::executor);
     std::variant<result<T>, bool> first =
         co_await (std::move(operation) || limit.wait_until(deadline));
--- /dev/null
+++ b/src/directory/tests/tst_directory.cpp
@@ -0,0 +1,76 @@
+#include "directory/endpointdirectory.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+directory::endpoint_record record(const std::string& name, bool draining = false)
+{
+    directory::endpoint_record r;
+    r.endpoint = core::endpoint_id(name);
+    r.service = core::service_id("tutor");
+    r.draining = draining;
+    return r;
+}
+
+const core::endpoint_id a("a");
+const core::endpoint_id b("b");
+
+} // namespace
+
+TEST_GROUP(directories)
+{
+    directory::endpoint_directory known;
+    core::time_point now{1h};
+};
+
+TEST(directories, removal_takes_effect_at_once)
+{
+    known.take_listing({record("a"), record("b")}, now);
+    known.take_removal(a, now);
+    CHECK(!known.usable(a));
+    CHECK(known.usable(b));
+}
+
+TEST(directories, draining_endpoint_gets_no_new_work)
+{
+    known.take(record("a"));
+    known.take(record("a", true));
+    CHECK(!known.usable(a));
+    CHECK(known.find(a) != nullptr);
+}
+
+TEST(directories, lapsed_entries_have_time_to_come_back)
+{
+    known.take_listing({record("a"), record("b")}, now);
+    known.on_store_back(now);
+    known.take_listing({record("b")}, now);
+    CHECK(known.usable(a));
+    known.take(record("a"));
+    CHECK(known.expire(now + 3s).empty());
+    CHECK(known.usable(a));
+}
+
+TEST(directories, what_does_not_come_back_is_dropped)
+{
+    known.take_listing({record("a"), record("b")}, now);
+    known.on_store_back(now);
+    known.take_removal(a, now + 100ms);
+    CHECK(known.expire(now + 1999ms).empty());
+    CHECK(known.usable(a));
+    LONGS_EQUAL(1, known.expire(now + 2000ms).size());
+    CHECK(!known.usable(a));
+    known.take_removal(b, now + 2100ms);
+    CHECK(!known.usable(b));
+}
+
+TEST(directories, draining_endpoint_is_not_waited_for)
+{
+    known.take(record("a", true));
+    known.on_store_back(now);
+    known.take_removal(a, now);
+    CHECK(known.find(a) == nullptr);
+}
--- /dev/null
+++ b/src/dispatch/dispatchmessages.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/identifiers.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace currantpitch::dispatch {
+
+/// Message types 96 to 111 belong to dispatch.
+enum message_number : std::uint8_t {
+    load_report_type = 96,
+};
+
+/// Requests of the sender that run at one endpoint.
+struct endpoint_load {
+    core::endpoint_id endpoint;
+    std::uint32_t running = 0;
+};
+template <class Archive>
+void describe(Archive& archive, endpoint_load& m)
+{
+    archive(m.endpoint, m.running);
+}
+
+/// Where an entry's requests run, and whether callers may be sent to it. Replaces the report
+/// before it.
+struct load_report {
+    static constexpr std::uint8_t type = load_report_type;
+    bool ready = false;
+    std::vector<endpoint_load> loads;
+};
+template <class Archive>
+void describe(Archive& archive, load_report& m)
+{
+    archive(m.ready, m.loads);
+}
+
+} // namespace currantpitch::dispatch
--- /dev/null
+++ b/src/dispatch/tests/tst_workqueue.cpp
@@ -0,0 +1,87 @@
+#include "dispatch/workqueue.h"
+
+#include "support/pausedrun.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+using slot_result = core::result<dispatch::work_queue::slot>;
+
+core::task<void> take(dispatch::work_queue& queue, std::optional<slot_result>& out)
+{
+    dispatch::dispatch_request r;
+    r.arrived = core::runtime_clock::now();
+    r.give_up = r.arrived + 200ms;
+    out.emplace(co_await queue.take(r));
+}
+
+} // namespace
+
+TEST_GROUP(work_queues)
+{
+    testing::paused_run run;
+    dispatch::work_queue queue{run.executor(),
+                               dispatch::scheduler(core::failure_domain_id("here"), false, 1)};
+
+    void setup() override
+    {
+        queue.decisions().set_endpoints(
+            {{core::endpoint_id("a"), core::failure_domain_id("here"), 1}});
+    }
+};
+
+TEST(work_queues, slot_is_given_back_at_the_end_of_its_life)
+{
+    std::optional<slot_result> first;
+    std::optional<slot_result> second;
+    run.spawn(take(queue, first));
+    run.spawn(take(queue, second));
+    run.advance(10ms);
+    CHECK(first && first->has_value());
+    CHECK(!second);
+    first.reset();
+    run.advance(1ms);
+    CHECK(second && second->has_value());
+}
+
+TEST(work_queues, waiting_is_given_up_in_time)
+{
+    std::optional<slot_result> first;
+    std::optional<slot_result> second;
+    run.spawn(take(queue, first));
+    run.spawn(take(queue, second));
+    run.advance(200ms);
+    CHECK(second && !second->has_value());
+    CHECK(second->error().code == core::errc::timeout);
+    LONGS_EQUAL(0, queue.decisions().waiting());
+}
+
+TEST(work_queues, service_without_endpoints_refuses_at_once)
+{
+    queue.decisions().set_endpoints({});
+    std::optional<slot_result> none;
+    run.spawn(take(queue, none));
+    run.advance(0ms);
+    CHECK(none && none->error().code == core::errc::unavailable);
+}
+
+TEST(work_queues, cancelled_wait_leaves_the_queue)
+{
+    using namespace core::asio::experimental::awaitable_operators;
+    std::optional<slot_result> first;
+    std::optional<slot_result> second;
+    run.spawn(take(queue, first));
+    run.advance(1ms);
+    run.spawn([](dispatch::work_queue& q, std::optional<slot_result>& out) -> core::task<void> {
+        co_await (take(q, out) || core::sleep_for(50ms));
+    }(queue, second));
+    run.advance(60ms);
+    CHECK(!second);
+    LONGS_EQUAL(0, queue.decisions().waiting());
+    first.reset();
+    LONGS_EQUAL(0, queue.decisions().load_of(core::endpoint_id("a"), core::runtime_clock::now()));
+}
--- a/src/entry/agentdirectory.cpp
+++ b/src/entry/agentdirectory.cpp
@@ -168,13 +168,15 @@
     }
 }
 
-std::vector<platform::object> agent_directory::configuration_for(const core::endpoint_id& id) const
+std::vector<objectstore::object>
+agent_directory::configuration_for(const core::endpoint_id& id) const
 {
     const intents::replica& held = *context_.configuration;
     const intents::catalog& catalog = context_.catalog;
-    std::vector<platform::object> objects;
+    std::vector<objectstore::object> objects;
     const auto take = [&held, &objects](intents::resource_kind kind, const std::string& name) {
-        const platform::object* const o = held.find({std::string(intents::to_string(kind)), name});
+        const objectstore::object* const o =
+            held.find({std::string(intents::to_string(kind)), name});
         if (o != nullptr) {
             objects.push_back(*o);
         }
@@ -205,7 +207,7 @@
     intents::agent_configuration message;
     message.objects = configuration_for(id);
     std::uint64_t hash = 0;
-    for (const platform::object& o : message.objects) {
+    for (const objectstore::object& o : message.objects) {
         message.complete = std::max(message.complete, o.version);
         hash = core::combine(hash, core::hash64(o.key.name, o.version.value));
     }
--- a/src/entry/agentdirectory.h
+++ b/src/entry/agentdirectory.h
@@ -53,7 +53,7 @@
     void remove(const core::endpoint_id& id);
     void refresh(const core::endpoint_id& id);
     void note_death(connected_endpoint& e, const sessions::load_report& load);
-    std::vector<platform::object> configuration_for(const core::endpoint_id& id) const;
+    std::vector<objectstore::object> configuration_for(const core::endpoint_id& id) const;
     void configure(const core::endpoint_id& id, bool new_session);
 
     entry_context& context_;
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -6,7 +6,7 @@
 #include "entry/entryconstants.h"
 #include "intents/hostregistration.h"
 #include "membership/entryset.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
 #include "wire/unpacker.h"
 #include "wire/wireconstants.h"
 
@@ -17,9 +17,9 @@
 
 namespace {
 
-platform::call_context within_timeout(std::string_view cause)
+objectstore::call_context within_timeout(std::string_view cause)
 {
-    return {cause, core::runtime_clock::now() + platform::call_timeout};
+    return {cause, core::runtime_clock::now() + objectstore::call_timeout};
 }
 
 std::string text_of(const core::asio::ip::tcp::endpoint& address)
@@ -38,7 +38,7 @@
       resources_(context_, store_, peers_), front_(context_, agents_, peers_, calls_, resources_),
       callers_(executor), peer_listener_(executor), stop_(executor)
 {
-    peers_.on_applied = [this](const std::vector<platform::object>& objects) {
+    peers_.on_applied = [this](const std::vector<objectstore::object>& objects) {
         on_applied(objects);
     };
     agents_.on_change = [this] {
@@ -150,7 +150,7 @@
 {
     // A host that is not registered yet, or whose registration was removed, registers again.
     while (!context_.stopping) {
-        const platform::object* const held =
+        const objectstore::object* const held =
             peers_.held().find({"Host", context_.settings.host.str()});
         const auto own = context_.catalog.hosts().find(context_.settings.host);
         const bool current = held != nullptr && own != context_.catalog.hosts().end() &&
@@ -209,7 +209,7 @@
     peers_.stop();
 }
 
-void entry_node::on_applied(const std::vector<platform::object>& objects)
+void entry_node::on_applied(const std::vector<objectstore::object>& objects)
 {
     (void)objects;
     agents_.reconcile();
@@ -293,7 +293,7 @@
     r.generation = 1;
     r.nonce = std::to_string(context_.random());
     r.spec = intents::to_json(spec);
-    core::result<platform::object> written = error{};
+    core::result<objectstore::object> written = error{};
     // Another entry may have written it already, which is as good.
     for (int tries = 0; tries < 10 && !written; ++tries) {
         written = co_await store_.put(key_of(r), to_body(r), core::revision{},
@@ -310,14 +310,14 @@
 core::task<void> entry_node::drop_expired_quarantines()
 {
     const core::wall_time now = core::runtime_clock::wall_now();
-    std::vector<std::pair<platform::object_key, core::revision>> expired;
+    std::vector<std::pair<objectstore::object_key, core::revision>> expired;
     for (const std::pair<const std::string, intents::versioned<intents::quarantine_spec>>& entry :
          context_.catalog.quarantines()) {
         if (now >= entry.second.spec.expires_at) {
             expired.push_back({{"Quarantine", entry.first}, entry.second.version});
         }
     }
-    for (const std::pair<platform::object_key, core::revision>& e : expired) {
+    for (const std::pair<objectstore::object_key, core::revision>& e : expired) {
         co_await store_.remove(e.first, e.second, within_timeout("quarantine"));
     }
 }
--- a/src/entry/entrynode.h
+++ b/src/entry/entrynode.h
@@ -27,7 +27,7 @@
     core::task<core::result<void>> register_host(intents::host_state state);
     core::task<void> remove_host();
     core::task<void> stop_gracefully();
-    void on_applied(const std::vector<platform::object>& objects);
+    void on_applied(const std::vector<objectstore::object>& objects);
     void configure_workspaces();
     void update_capacity();
     void apply_quarantines();
@@ -35,7 +35,7 @@
     core::task<void> drop_expired_quarantines();
 
     entry_context context_;
-    platform::http_platform store_;
+    objectstore::http_store store_;
     ledger_directory ledger_;
     agent_directory agents_;
     entry_peers peers_;
--- a/src/entry/entrypeers.cpp
+++ b/src/entry/entrypeers.cpp
@@ -11,7 +11,7 @@
 using membership::peer_hello;
 using membership::presence;
 
-entry_peers::entry_peers(entry_context& context, platform::http_platform& store,
+entry_peers::entry_peers(entry_context& context, objectstore::http_store& store,
                          ledger_directory& ledger)
     : context_(context), ledger_(ledger), feed_(store, decisions_, context.random()),
       hub_(std::make_shared<membership::peer_hub>(
@@ -158,11 +158,11 @@
 
 void entry_peers::take_applied()
 {
-    const std::vector<platform::object> applied = decisions_.take_applied();
+    const std::vector<objectstore::object> applied = decisions_.take_applied();
     if (applied.empty()) {
         return;
     }
-    for (const platform::object& o : applied) {
+    for (const objectstore::object& o : applied) {
         context_.catalog.update(o);
         core::log_event("configuration_applied")
             .field("kind", o.key.kind)
--- a/src/entry/entrypeers.h
+++ b/src/entry/entrypeers.h
@@ -10,7 +10,7 @@
 #include "membership/addressanswer.h"
 #include "membership/peerhub.h"
 #include "membership/presencetable.h"
-#include "platform/httpplatform.h"
+#include "objectstore/httpstore.h"
 
 namespace currantpitch::entry {
 
@@ -18,7 +18,7 @@
 /// ledger's operations.
 class entry_peers {
 public:
-    entry_peers(entry_context& context, platform::http_platform& store, ledger_directory& ledger);
+    entry_peers(entry_context& context, objectstore::http_store& store, ledger_directory& ledger);
 
     void start();
     void stop();
@@ -41,7 +41,7 @@
     void tell_clearance(const admission::fingerprint& request);
 
     /// Called with objects that have come into force.
-    std::function<void(const std::vector<platform::object>&)> on_applied;
+    std::function<void(const std::vector<objectstore::object>&)> on_applied;
 
 private:
     void send_all(std::vector<intents::sync_outgoing> messages);
@@ -63,7 +63,7 @@
     entry_context& context_;
     ledger_directory& ledger_;
     intents::disseminator decisions_;
-    intents::configuration_feed<platform::http_platform> feed_;
+    intents::configuration_feed<objectstore::http_store> feed_;
     std::shared_ptr<membership::peer_hub> hub_;
     membership::presence_table presence_;
     intents::fleet_view fleet_;
--- a/src/entry/ledgerdirectory.cpp
+++ b/src/entry/ledgerdirectory.cpp
@@ -76,11 +76,11 @@
     return best;
 }
 
-actions::ledger_owner<platform::http_platform>& ledger_directory::local(unsigned shard)
+actions::ledger_owner<objectstore::http_store>& ledger_directory::local(unsigned shard)
 {
-    std::unique_ptr<actions::ledger_owner<platform::http_platform>>& owner = owners_[shard];
+    std::unique_ptr<actions::ledger_owner<objectstore::http_store>>& owner = owners_[shard];
     if (!owner) {
-        owner = std::make_unique<actions::ledger_owner<platform::http_platform>>(
+        owner = std::make_unique<actions::ledger_owner<objectstore::http_store>>(
             store_, executor_, shard, core::combine(seed_, shard));
     }
     return *owner;
--- a/src/entry/ledgerdirectory.h
+++ b/src/entry/ledgerdirectory.h
@@ -3,7 +3,7 @@
 #include "actions/ledgermessages.h"
 #include "actions/ledgerowner.h"
 #include "membership/peerhub.h"
-#include "platform/httpplatform.h"
+#include "objectstore/httpstore.h"
 
 #include <map>
 #include <memory>
@@ -14,7 +14,7 @@
 /// peer, and are committed here otherwise. Owners at the same time are safe.
 class ledger_directory {
 public:
-    ledger_directory(platform::http_platform& store, const core::asio::any_io_executor& executor,
+    ledger_directory(objectstore::http_store& store, const core::asio::any_io_executor& executor,
                      core::host_id self, unsigned shards, std::uint64_t seed)
         : store_(store), executor_(executor), self_(std::move(self)), shards_(shards), seed_(seed)
     {
@@ -37,18 +37,18 @@
     };
 
     core::host_id owner_of(unsigned shard) const;
-    actions::ledger_owner<platform::http_platform>& local(unsigned shard);
+    actions::ledger_owner<objectstore::http_store>& local(unsigned shard);
     core::task<core::result<actions::ledger_answer>>
     forward(core::host_id owner, actions::ledger_operation operation, core::time_point deadline);
 
-    platform::http_platform& store_;
+    objectstore::http_store& store_;
     core::asio::any_io_executor executor_;
     core::host_id self_;
     unsigned shards_;
     std::uint64_t seed_;
     std::vector<core::host_id> entries_;
     std::shared_ptr<membership::peer_hub> peers_;
-    std::map<unsigned, std::unique_ptr<actions::ledger_owner<platform::http_platform>>> owners_;
+    std::map<unsigned, std::unique_ptr<actions::ledger_owner<objectstore::http_store>>> owners_;
     std::uint64_t last_query_ = 0;
     std::map<std::uint64_t, open_request> open_;
 };
--- a/src/entry/resourcefront.cpp
+++ b/src/entry/resourcefront.cpp
@@ -4,7 +4,7 @@
 #include "core/text.h"
 #include "entry/entryconstants.h"
 #include "entry/internal/answerjson.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
 
 namespace currantpitch::entry {
 
@@ -116,7 +116,7 @@
 http::response resource_front::list(resource_kind kind) const
 {
     json::array items;
-    for (const std::pair<const platform::object_key, platform::object>& entry :
+    for (const std::pair<const objectstore::object_key, objectstore::object>& entry :
          peers_.held().objects()) {
         if (entry.first.kind != intents::to_string(kind) || entry.second.deleted) {
             continue;
@@ -140,7 +140,7 @@
         co_return error_answer(404, found.error());
     }
     // The platform is away: what this entry holds is the best there is, and marked as such.
-    const platform::object* const held =
+    const objectstore::object* const held =
         peers_.held().find({std::string(intents::to_string(kind)), name});
     const core::result<resource> r =
         held ? intents::from_object(*held) : core::result<resource>(found.error());
@@ -199,9 +199,9 @@
     resource next = found.value();
     next.spec["state"] = "leaving";
     ++next.generation;
-    const platform::call_context call{"host_drain",
-                                      core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> written =
+    const objectstore::call_context call{"host_drain",
+                                         core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> written =
         co_await store_.put(key_of(next), to_body(next), next.version, call);
     if (!written) {
         const bool conflict = written.error().code == core::errc::conflict;
@@ -274,7 +274,7 @@
     while (open && !context_.refuses_new_work) {
         const core::revision now_at = peers_.complete();
         std::string lines;
-        for (const platform::object& o : peers_.held().changes_since(seen).objects) {
+        for (const objectstore::object& o : peers_.held().changes_since(seen).objects) {
             if (kind && o.key.kind != *kind) {
                 continue;
             }
--- a/src/entry/resourcefront.h
+++ b/src/entry/resourcefront.h
@@ -9,7 +9,7 @@
 /// The resource API over HTTP and JSON, below /api/v1.
 class resource_front {
 public:
-    resource_front(entry_context& context, platform::http_platform& store, entry_peers& peers)
+    resource_front(entry_context& context, objectstore::http_store& store, entry_peers& peers)
         : context_(context), store_(store), peers_(peers), service_(store, context.random())
     {
     }
@@ -30,9 +30,9 @@
     boost::json::array conditions(const intents::resource& r) const;
 
     entry_context& context_;
-    platform::http_platform& store_;
+    objectstore::http_store& store_;
     entry_peers& peers_;
-    intents::resource_service<platform::http_platform> service_;
+    intents::resource_service<objectstore::http_store> service_;
 };
 
 } // namespace currantpitch::entry
--- a/src/expertmaps/fenceclaim.h
+++ b/src/expertmaps/fenceclaim.h
@@ -2,8 +2,8 @@
 
 #include "core/error.h"
 #include "core/identifiers.h"
-#include "platform/platformclient.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
+#include "objectstore/storeclient.h"
 
 #include <charconv>
 #include <string>
@@ -26,13 +26,13 @@
 } // namespace internal
 
 /// Highest fence that was claimed for the group; zero when there is none.
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<core::fence>> read_fence(Platform& store, core::service_id group)
 {
-    const platform::object_key key{std::string(fence_kind), group.str()};
-    const platform::call_context call{"map_fence",
-                                      core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> present = co_await store.get(key, call);
+    const objectstore::object_key key{std::string(fence_kind), group.str()};
+    const objectstore::call_context call{"map_fence",
+                                         core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> present = co_await store.get(key, call);
     if (!present && present.error().code == core::errc::not_found) {
         co_return core::fence{};
     }
@@ -44,14 +44,14 @@
 
 /// Claims the next fence of the group by one conditional write. errc::conflict when another agent
 /// claimed at the same time; a write whose answer was lost is recognised by the nonce.
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<core::fence>> claim_fence(Platform& store, core::service_id group,
                                                   std::uint64_t nonce)
 {
-    const platform::object_key key{std::string(fence_kind), group.str()};
-    const platform::call_context read{"map_fence",
-                                      core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> present = co_await store.get(key, read);
+    const objectstore::object_key key{std::string(fence_kind), group.str()};
+    const objectstore::call_context read{"map_fence",
+                                         core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> present = co_await store.get(key, read);
     if (!present && present.error().code != core::errc::not_found) {
         co_return present.error();
     }
@@ -59,18 +59,18 @@
     const core::fence next =
         present ? internal::fence_in(present.value().body).next() : core::fence{1};
     const std::string body = std::to_string(next.value) + " " + std::to_string(nonce);
-    const platform::call_context write{"map_fence",
-                                       core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> written = co_await store.put(key, body, version, write);
+    const objectstore::call_context write{"map_fence",
+                                          core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> written = co_await store.put(key, body, version, write);
     if (written) {
         co_return next;
     }
-    if (!platform::effect_unknown(written.error())) {
+    if (!objectstore::effect_unknown(written.error())) {
         co_return written.error();
     }
-    const platform::call_context again{"map_fence",
-                                       core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> now = co_await store.get(key, again);
+    const objectstore::call_context again{"map_fence",
+                                          core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> now = co_await store.get(key, again);
     if (now && now.value().body == body) {
         co_return next;
     }
--- a/src/expertmaps/groupcoordinator.h
+++ b/src/expertmaps/groupcoordinator.h
@@ -33,7 +33,7 @@
 /// One agent's part in its group: carries out orders on its rank, and leads the group when it is
 /// the first candidate that lives. Leadership is claimed by one conditional write and needs no
 /// renewal; a leader that was paused finds its fence refused.
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 class group_coordinator {
 public:
     group_coordinator(const core::asio::any_io_executor& executor, Platform& store, Engine& engine,
@@ -114,7 +114,7 @@
     bool stopped_ = false;
 };
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::configure(group_configuration configuration)
 {
     const bool same_shape =
@@ -152,7 +152,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::stop()
 {
     stopped_ = true;
@@ -162,7 +162,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 std::vector<group_member> group_coordinator<Platform, Engine>::candidates() const
 {
     std::vector<group_member> list = configuration_.members;
@@ -172,7 +172,7 @@
     return list;
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::on_status(const rank_status& status)
 {
     const bool first = status_.incarnation == core::incarnation{};
@@ -205,7 +205,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void> group_coordinator<Platform, Engine>::member_task(group_member candidate)
 {
     using namespace core::asio::experimental::awaitable_operators;
@@ -224,7 +224,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void>
 group_coordinator<Platform, Engine>::member_read(wire::framed_connection& connection,
                                                  group_member candidate)
@@ -250,7 +250,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void>
 group_coordinator<Platform, Engine>::member_write(wire::framed_connection& connection)
 {
@@ -269,7 +269,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 rank_report group_coordinator<Platform, Engine>::own_report() const
 {
     return {own_rank_.value_or(0), status_.step, whole_counts(status_.expert_tokens),
@@ -277,7 +277,7 @@
 }
 
 // One order at a time reaches the engine, and each is confirmed before the next.
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<rank_answer> group_coordinator<Platform, Engine>::carry_out(rank_order order)
 {
     while (order_open_) {
@@ -331,14 +331,14 @@
     co_return answer;
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void> group_coordinator<Platform, Engine>::carry_out_locally(rank_order order)
 {
     const rank_answer answer = co_await carry_out(std::move(order));
     take_answer(answer);
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void>
 group_coordinator<Platform, Engine>::serve(std::shared_ptr<wire::framed_connection> connection,
                                            group_hello h)
@@ -395,7 +395,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 bool group_coordinator<Platform, Engine>::lower_candidate_lives() const
 {
     for (const group_member& candidate : candidates()) {
@@ -413,7 +413,7 @@
     return true;
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void> group_coordinator<Platform, Engine>::run()
 {
     quiet_since_ = core::runtime_clock::now();
@@ -440,7 +440,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void> group_coordinator<Platform, Engine>::claim_leadership()
 {
     claiming_ = true;
@@ -462,7 +462,7 @@
     send(leader_->begin(core::runtime_clock::now()));
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::send(std::vector<addressed_order> orders)
 {
     for (addressed_order& o : orders) {
@@ -481,7 +481,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::take_answer(const rank_answer& answer)
 {
     if (!leader_) {
@@ -508,7 +508,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::lead(core::time_point now)
 {
     send(leader_->tick(now));
@@ -542,7 +542,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::plan_next(core::time_point now)
 {
     const plan p = planner_->make(present_, popularity_->estimate(now), now);
@@ -554,7 +554,7 @@
     }
 }
 
-template <platform::platform_client Platform, rank_engine Engine>
+template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::log_plan(const plan& p) const
 {
     core::log_event("placement")
--- a/src/expertmaps/tests/tst_fenceclaim.cpp
+++ b/src/expertmaps/tests/tst_fenceclaim.cpp
@@ -1,5 +1,5 @@
 #include "expertmaps/fenceclaim.h"
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 
 #include "support/pausedrun.h"
 
@@ -11,13 +11,13 @@
 TEST_GROUP(fences)
 {
     testing::paused_run run;
-    fakes::memory_platform store{run.executor()};
+    fakes::memory_store store{run.executor()};
 
     std::shared_ptr<core::result<core::fence>> claim(std::uint64_t nonce)
     {
         std::shared_ptr<core::result<core::fence>> outcome =
             std::make_shared<core::result<core::fence>>(core::error{});
-        run.spawn([](fakes::memory_platform& s, std::uint64_t n,
+        run.spawn([](fakes::memory_store& s, std::uint64_t n,
                      std::shared_ptr<core::result<core::fence>> out) -> core::task<void> {
             const core::service_id group("g");
             *out = co_await expertmaps::claim_fence(s, group, n);
--- a/src/expertmaps/tests/tst_groupcoordinator.cpp
+++ b/src/expertmaps/tests/tst_groupcoordinator.cpp
@@ -1,6 +1,6 @@
 #include "expertmaps/groupcoordinator.h"
 #include "fakes/enginegroup.h"
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 
 #include <boost/json.hpp>
 
@@ -42,11 +42,11 @@
     }
 };
 
-using coordinator_type = group_coordinator<fakes::memory_platform, direct_engine>;
+using coordinator_type = group_coordinator<fakes::memory_store, direct_engine>;
 
 struct rank_process {
-    rank_process(asio::io_context& context, fakes::memory_platform& store,
-                 fakes::engine_group& group, std::uint32_t rank)
+    rank_process(asio::io_context& context, fakes::memory_store& store, fakes::engine_group& group,
+                 std::uint32_t rank)
         : acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
           engine{&group, rank},
           coordinator(context.get_executor(), store, engine,
@@ -62,7 +62,7 @@
 
 struct group_world {
     asio::io_context context{1};
-    fakes::memory_platform store{context.get_executor()};
+    fakes::memory_store store{context.get_executor()};
     fakes::engine_group group{context.get_executor(),
                               fakes::engine_group_options{
                                   .ranks = rank_count, .experts = expert_count, .step_time = 2ms}};
--- /dev/null
+++ b/src/gateway/entryroster.cpp
@@ -0,0 +1,97 @@
+#include "gateway/entryroster.h"
+
+#include "core/eventlog.h"
+#include "gateway/gatewayconstants.h"
+#include "intents/resource.h"
+#include "wire/framedconnection.h"
+
+namespace currantpitch::gateway {
+
+namespace {
+
+std::optional<intents::host_spec> spec_in(const objectstore::object& o)
+{
+    const core::result<intents::resource> r = intents::from_object(o);
+    const intents::spec_report<intents::host_spec> spec =
+        r ? intents::parse_host(r.value().spec) : intents::spec_report<intents::host_spec>{};
+    if (!spec.spec) {
+        core::log_event("host_unreadable", core::log_event::level::warning)
+            .field("name", o.key.name)
+            .field("reason", r ? core::to_text(spec.problems) : r.error().detail);
+    }
+    return spec.spec;
+}
+
+} // namespace
+
+void entry_roster::take_listing(const std::vector<objectstore::object>& hosts)
+{
+    entries_.clear();
+    for (const objectstore::object& o : hosts) {
+        take(o);
+    }
+}
+
+void entry_roster::take(const objectstore::object& host)
+{
+    const core::host_id name(host.key.name);
+    if (host.deleted) {
+        entries_.erase(name);
+        return;
+    }
+    const std::optional<intents::host_spec> spec = spec_in(host);
+    if (spec && spec->role == intents::host_role::entry) {
+        entries_[name] = *spec;
+    }
+}
+
+void entry_roster::on_report(const core::host_id& peer, bool ready, core::time_point now)
+{
+    reports_[peer] = {ready, now};
+}
+
+void entry_roster::on_down(const core::host_id& peer)
+{
+    reports_.erase(peer);
+}
+
+std::map<core::host_id, boost::asio::ip::tcp::endpoint> entry_roster::to_dial() const
+{
+    std::map<core::host_id, boost::asio::ip::tcp::endpoint> targets;
+    for (const std::pair<const core::host_id, intents::host_spec>& entry : entries_) {
+        const core::result<boost::asio::ip::tcp::endpoint> address =
+            wire::parse_address(entry.second.peer_address);
+        if (address && self_ < entry.first) {
+            targets.emplace(entry.first, address.value());
+        }
+    }
+    return targets;
+}
+
+std::vector<std::string> entry_roster::addresses(const core::failure_domain_id& near,
+                                                 bool self_ready, core::time_point now) const
+{
+    std::vector<std::string> close;
+    std::vector<std::string> far;
+    for (const std::pair<const core::host_id, intents::host_spec>& entry : entries_) {
+        const auto report = reports_.find(entry.first);
+        const bool peer_ready = report != reports_.end() && report->second.ready &&
+                                now - report->second.at <= peer_report_lifetime;
+        const bool usable = entry.first == self_ ? self_ready : peer_ready;
+        if (usable) {
+            (entry.second.failure_domain == near ? close : far)
+                .push_back(entry.second.caller_address);
+        }
+    }
+    close.insert(close.end(), far.begin(), far.end());
+    close.resize(std::min(close.size(), max_addresses));
+    return close;
+}
+
+const intents::host_spec* entry_roster::own() const
+{
+    const auto found = entries_.find(self_);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+} // namespace currantpitch::gateway
--- /dev/null
+++ b/src/gateway/feedsinks.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "gateway/entryroster.h"
+#include "gateway/siteplatform.h"
+#include "proxy/proxycontext.h"
+
+#include <functional>
+
+namespace currantpitch::gateway {
+
+/// Takes the operator's configuration in.
+template <site_platform Site>
+class configuration_sink {
+public:
+    configuration_sink(proxy::proxy_context& context, std::function<void()> on_change)
+        : context_(context), on_change_(std::move(on_change))
+    {
+    }
+
+    void take_listing(const objectstore::listing& whole)
+    {
+        for (const objectstore::object& o : whole.objects) {
+            take(o, whole.current_as_of);
+        }
+    }
+    void take_change(const objectstore::object& o) { take(o, {}); }
+    void take_proof(core::boot_time t) { context_.configuration.prove_current(t); }
+    void take_store_back() {}
+
+private:
+    void take(const objectstore::object& o, core::boot_time current_as_of)
+    {
+        if (o.deleted || o.key != Site::configuration_key()) {
+            return;
+        }
+        core::result<routes::configuration> accepted = Site::decode_configuration(o.body);
+        if (!accepted) {
+            core::log_event("configuration_unreadable", core::log_event::level::error)
+                .field("revision", o.version)
+                .field("reason", accepted.error().detail);
+            return;
+        }
+        const std::size_t routes = accepted.value().routes.size();
+        const std::size_t workspaces = accepted.value().workspaces.size();
+        if (!context_.configuration.take(std::move(accepted.value()), current_as_of)) {
+            return;
+        }
+        core::log_event("configuration_in_force")
+            .field("version", context_.configuration.table()->version())
+            .field("revision", o.version)
+            .field("routes", routes)
+            .field("workspaces", workspaces);
+        on_change_();
+    }
+
+    proxy::proxy_context& context_;
+    std::function<void()> on_change_;
+};
+
+/// Takes the registered endpoints in.
+template <site_platform Site>
+class endpoint_sink {
+public:
+    explicit endpoint_sink(proxy::proxy_context& context) : context_(context) {}
+
+    void take_listing(const objectstore::listing& whole)
+    {
+        std::vector<directory::endpoint_record> records;
+        for (const objectstore::object& o : whole.objects) {
+            const core::result<directory::endpoint_record> r = decode(o);
+            if (r) {
+                records.push_back(r.value());
+            }
+        }
+        context_.endpoints.take_listing(records, core::runtime_clock::now());
+        listed_ = true;
+        context_.apply_endpoints();
+        core::log_event("endpoints_listed")
+            .field("revision", whole.at)
+            .field("endpoints", records.size());
+    }
+    void take_change(const objectstore::object& o)
+    {
+        const core::endpoint_id name(o.key.name);
+        const directory::endpoint_record* const before = context_.endpoints.find(name);
+        const core::result<directory::endpoint_record> r =
+            o.deleted ? core::result<directory::endpoint_record>(
+                            core::error{core::errc::not_found, "removed"})
+                      : decode(o);
+        const bool changed = r ? before == nullptr || !(*before == r.value()) : before != nullptr;
+        if (!changed) {
+            return;
+        }
+        core::log_event("endpoint_changed")
+            .field("endpoint", name)
+            .field("revision", o.version)
+            .field("state", !r                   ? "gone"
+                            : r.value().draining ? "draining"
+                                                 : "ready");
+        if (r) {
+            context_.endpoints.take(r.value());
+        }
+        else {
+            context_.endpoints.take_removal(name, core::runtime_clock::now());
+        }
+        if (!context_.endpoints.usable(name)) {
+            context_.connections.drop(name);
+        }
+        context_.apply_endpoints();
+    }
+    void take_proof(core::boot_time) {}
+    void take_store_back() { context_.endpoints.on_store_back(core::runtime_clock::now()); }
+
+    bool listed() const { return listed_; }
+
+private:
+    static core::result<directory::endpoint_record> decode(const objectstore::object& o)
+    {
+        core::result<directory::endpoint_record> r = Site::decode_endpoint(o);
+        if (!r) {
+            core::log_event("endpoint_unreadable", core::log_event::level::warning)
+                .field("name", o.key.name)
+                .field("revision", o.version)
+                .field("reason", r.error().detail);
+        }
+        return r;
+    }
+
+    proxy::proxy_context& context_;
+    bool listed_ = false;
+};
+
+/// Takes the registered entries in.
+class host_sink {
+public:
+    host_sink(entry_roster& roster, std::function<void()> on_change)
+        : roster_(roster), on_change_(std::move(on_change))
+    {
+    }
+
+    void take_listing(const objectstore::listing& whole)
+    {
+        roster_.take_listing(whole.objects);
+        on_change_();
+    }
+    void take_change(const objectstore::object& o)
+    {
+        roster_.take(o);
+        on_change_();
+    }
+    void take_proof(core::boot_time) {}
+    void take_store_back() {}
+
+private:
+    entry_roster& roster_;
+    std::function<void()> on_change_;
+};
+
+} // namespace currantpitch::gateway
--- /dev/null
+++ b/src/gateway/gatewayconstants.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace currantpitch::gateway {
+
+/// Lifetime of an address answer. Short, so that callers have left an entry that stops within
+/// three lifetimes, which is how long some of them keep an answer.
+inline constexpr std::chrono::seconds address_lifetime{1};
+/// Time for which a stopping entry still serves whoever comes: three lifetimes and a margin.
+inline constexpr std::chrono::milliseconds farewell_time{3300};
+/// Part of the stop timeout that is kept back, so that the process ends before it is killed.
+inline constexpr std::chrono::milliseconds stop_reserve{400};
+/// Addresses in one answer at most.
+inline constexpr std::size_t max_addresses = 64;
+/// Interval at which loads are reported to the peers when they have changed.
+inline constexpr std::chrono::milliseconds load_report_interval{100};
+/// Reports without a change are sent once in so many intervals.
+inline constexpr int unchanged_reports_skipped = 4;
+/// Age of a peer's last report up to which callers are sent to it.
+inline constexpr std::chrono::milliseconds peer_report_lifetime{2000};
+/// Interval of the regular work on endpoints and idle connections.
+inline constexpr std::chrono::milliseconds upkeep_interval{100};
+/// Time that is kept back from the bound on a key's revocation, for clocks that run apart.
+inline constexpr std::chrono::milliseconds key_trust_margin{300};
+/// Age of the configuration, as a part of the revocation time, beyond which callers are sent to
+/// other entries.
+inline constexpr double ready_age_share = 0.6;
+
+} // namespace currantpitch::gateway
--- /dev/null
+++ b/src/gateway/gatewaynode.h
@@ -0,0 +1,417 @@
+#pragma once
+
+#include "gateway/feedsinks.h"
+#include "gateway/gatewayconstants.h"
+#include "gateway/metricsfront.h"
+#include "intents/hostregistration.h"
+#include "membership/peerhub.h"
+#include "objectstore/kindfeed.h"
+#include "proxy/callerfront.h"
+#include "settings/nodesettings.h"
+#include "wire/packer.h"
+#include "wire/unpacker.h"
+#include "wire/wireconstants.h"
+
+#include "dispatch/dispatchmessages.h"
+
+namespace currantpitch::gateway {
+
+/// One entry process that serves declared routes: it listens for callers and peers, serves, and
+/// stops without cutting anything off.
+template <site_platform Site>
+class gateway_node {
+public:
+    gateway_node(const core::asio::any_io_executor& executor, settings::node_settings settings,
+                 std::uint64_t seed);
+
+    /// Listens and serves until a planned stop has ended.
+    core::task<core::result<void>> run();
+    /// Begins the planned stop.
+    void begin_stop(std::string_view reason);
+
+private:
+    /// Answers which addresses callers are to use.
+    struct directory_front {
+        gateway_node& node;
+        core::task<void> operator()(http::server_connection& c, const http::request& r);
+    };
+    /// Tells the platform whether the process is ready.
+    struct readiness_front {
+        gateway_node& node;
+        core::task<void> operator()(http::server_connection& c, const http::request& r);
+    };
+
+    static proxy::proxy_bounds bounds_of(const settings::node_settings& s);
+    core::result<void> listen();
+    void start_feeds();
+    bool ready() const;
+    void on_hosts();
+    void on_peer_message(const core::host_id& peer, std::uint8_t type, const std::string& payload);
+    dispatch::load_report own_report() const;
+    core::task<void> accept_peers();
+    core::task<void> serve_peer(std::shared_ptr<wire::framed_connection> connection);
+    core::task<void> report_loop();
+    core::task<void> upkeep_loop();
+    core::task<void> registration_loop();
+    core::task<core::result<void>> register_self(intents::host_state state);
+    core::task<void> stop_gracefully();
+
+    core::asio::any_io_executor executor_;
+    settings::node_settings settings_;
+    core::incarnation incarnation_;
+    proxy::proxy_context context_;
+    entry_roster roster_;
+    std::shared_ptr<membership::peer_hub> hub_;
+    typename Site::store store_;
+    configuration_sink<Site> configuration_sink_;
+    endpoint_sink<Site> endpoint_sink_;
+    host_sink host_sink_;
+    objectstore::kind_feed<typename Site::store, configuration_sink<Site>> configuration_feed_;
+    objectstore::kind_feed<typename Site::store, endpoint_sink<Site>> endpoint_feed_;
+    objectstore::kind_feed<typename Site::store, host_sink> host_feed_;
+    proxy::caller_front<typename Site::dialect> callers_;
+    directory_front directory_{*this};
+    readiness_front readiness_{*this};
+    metrics_front metrics_;
+    core::asio::ip::tcp::acceptor caller_listener_;
+    core::asio::ip::tcp::acceptor directory_listener_;
+    core::asio::ip::tcp::acceptor readiness_listener_;
+    core::asio::ip::tcp::acceptor metrics_listener_;
+    core::asio::ip::tcp::acceptor peer_listener_;
+    core::notifier stop_;
+    bool was_ready_ = false;
+};
+
+template <site_platform Site>
+proxy::proxy_bounds gateway_node<Site>::bounds_of(const settings::node_settings& s)
+{
+    proxy::proxy_bounds b;
+    b.key_trust = s.revocation_time - key_trust_margin;
+    b.retries = {s.retry_ratio, s.retry_slack, s.retry_window};
+    return b;
+}
+
+template <site_platform Site>
+gateway_node<Site>::gateway_node(const core::asio::any_io_executor& executor,
+                                 settings::node_settings settings, std::uint64_t seed)
+    : executor_(executor), settings_(std::move(settings)), incarnation_{seed},
+      context_(executor, settings_.failure_domain, bounds_of(settings_), seed),
+      roster_(settings_.host),
+      hub_(std::make_shared<membership::peer_hub>(
+          executor,
+          membership::peer_hello{settings_.host, settings_.failure_domain, incarnation_})),
+      store_(executor, settings_.store_address),
+      configuration_sink_(context_, [this] { context_.apply_endpoints(); }),
+      endpoint_sink_(context_), host_sink_(roster_, [this] { on_hosts(); }),
+      configuration_feed_(store_, Site::configuration_key().kind, configuration_sink_, seed + 1),
+      endpoint_feed_(store_, Site::endpoint_kind(), endpoint_sink_, seed + 2),
+      host_feed_(store_, std::string(intents::to_string(intents::resource_kind::host)), host_sink_,
+                 seed + 3),
+      callers_(context_), caller_listener_(executor), directory_listener_(executor),
+      readiness_listener_(executor), metrics_listener_(executor), peer_listener_(executor),
+      stop_(executor)
+{
+    hub_->on_message = [this](const core::host_id& peer, std::uint8_t type,
+                              const std::string& payload) {
+        on_peer_message(peer, type, payload);
+    };
+    hub_->on_up = [](const membership::peer_hello& h) {
+        core::log_event("peer_up").field("peer", h.host).field("incarnation", h.incarnation);
+    };
+    hub_->on_down = [this](const membership::peer_hello& h) {
+        core::log_event("peer_down").field("peer", h.host).field("incarnation", h.incarnation);
+        roster_.on_down(h.host);
+    };
+    hub_->on_beat = [](const membership::peer_hello&, const membership::peer_beat&) {
+    };
+}
+
+template <site_platform Site>
+core::result<void> gateway_node<Site>::listen()
+{
+    const std::array<std::pair<core::asio::ip::tcp::acceptor*, settings::address>, 5> all{
+        {{&caller_listener_, settings_.caller_address},
+         {&directory_listener_, settings_.directory_address},
+         {&readiness_listener_, settings_.readiness_address},
+         {&metrics_listener_, settings_.metrics_address},
+         {&peer_listener_, settings_.peer_address}}};
+    for (const std::pair<core::asio::ip::tcp::acceptor*, settings::address>& one : all) {
+        const core::result<void> open = wire::open_listener(*one.first, one.second);
+        if (!open) {
+            return open;
+        }
+    }
+    return core::ok();
+}
+
+template <site_platform Site>
+core::task<core::result<void>> gateway_node<Site>::run()
+{
+    const core::result<void> listening = listen();
+    if (!listening) {
+        co_return listening.error();
+    }
+    core::log_event("gateway_start")
+        .field("host", settings_.host)
+        .field("failure_domain", settings_.failure_domain)
+        .field("incarnation", incarnation_);
+    start_feeds();
+    core::spawn(executor_, accept_peers());
+    core::spawn(executor_, http::serve(caller_listener_, callers_));
+    core::spawn(executor_, http::serve(directory_listener_, directory_));
+    core::spawn(executor_, http::serve(readiness_listener_, readiness_));
+    core::spawn(executor_, http::serve(metrics_listener_, metrics_));
+    core::spawn(executor_, report_loop());
+    core::spawn(executor_, upkeep_loop());
+    core::spawn(executor_, registration_loop());
+    while (!context_.stopping) {
+        co_await stop_.wait();
+    }
+    co_await stop_gracefully();
+    co_return core::ok();
+}
+
+template <site_platform Site>
+void gateway_node<Site>::start_feeds()
+{
+    core::spawn(executor_, configuration_feed_.run());
+    core::spawn(executor_, endpoint_feed_.run());
+    core::spawn(executor_, host_feed_.run());
+}
+
+template <site_platform Site>
+void gateway_node<Site>::begin_stop(std::string_view reason)
+{
+    if (context_.stopping) {
+        return;
+    }
+    core::log_event("gateway_stop_begin")
+        .field("reason", reason)
+        .field("in_flight", context_.in_flight);
+    context_.stopping = true;
+    stop_.notify();
+}
+
+template <site_platform Site>
+bool gateway_node<Site>::ready() const
+{
+    const core::duration trusted =
+        std::chrono::duration_cast<core::duration>(settings_.revocation_time * ready_age_share);
+    return !context_.stopping && context_.configuration.known() && endpoint_sink_.listed() &&
+           context_.configuration.age() <= trusted;
+}
+
+template <site_platform Site>
+void gateway_node<Site>::on_hosts()
+{
+    hub_->set_targets(roster_.to_dial());
+    context_.set_sharers(std::max<std::size_t>(roster_.registered(), 1));
+}
+
+template <site_platform Site>
+void gateway_node<Site>::on_peer_message(const core::host_id& peer, std::uint8_t type,
+                                         const std::string& payload)
+{
+    if (type != dispatch::load_report_type) {
+        core::counter_for("peer_messages_unknown_total").add();
+        return;
+    }
+    const core::result<dispatch::load_report> report = wire::decode<dispatch::load_report>(payload);
+    if (!report) {
+        core::counter_for("peer_messages_malformed_total").add();
+        return;
+    }
+    const core::time_point now = core::runtime_clock::now();
+    roster_.on_report(peer, report.value().ready, now);
+    std::map<core::endpoint_id, unsigned> loads;
+    for (const dispatch::endpoint_load& l : report.value().loads) {
+        loads[l.endpoint] = l.running;
+    }
+    for (const std::pair<const core::service_id, std::unique_ptr<proxy::service_state>>& entry :
+         context_.services) {
+        entry.second->queue.decisions().on_peer_load(peer, loads, now);
+        entry.second->queue.settle();
+    }
+}
+
+template <site_platform Site>
+dispatch::load_report gateway_node<Site>::own_report() const
+{
+    dispatch::load_report report;
+    report.ready = ready();
+    for (const std::pair<const core::service_id, std::unique_ptr<proxy::service_state>>& entry :
+         context_.services) {
+        for (const std::pair<const core::endpoint_id, unsigned>& load :
+             entry.second->queue.decisions().own_load()) {
+            report.loads.push_back({load.first, load.second});
+        }
+    }
+    return report;
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::report_loop()
+{
+    std::string last;
+    int skipped = 0;
+    while (true) {
+        std::string payload = wire::encode(own_report());
+        if (payload != last || ++skipped > unchanged_reports_skipped) {
+            skipped = 0;
+            hub_->send_to_all(payload);
+            last = std::move(payload);
+        }
+        co_await core::sleep_for(load_report_interval);
+    }
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::upkeep_loop()
+{
+    while (true) {
+        co_await core::sleep_for(upkeep_interval);
+        const core::time_point now = core::runtime_clock::now();
+        const std::vector<core::endpoint_id> gone = context_.endpoints.expire(now);
+        for (const core::endpoint_id& endpoint : gone) {
+            core::log_event("endpoint_not_back").field("endpoint", endpoint);
+        }
+        if (!gone.empty()) {
+            context_.apply_endpoints();
+        }
+        context_.connections.expire(now);
+        for (const std::pair<const core::service_id, std::unique_ptr<proxy::service_state>>& entry :
+             context_.services) {
+            proxy::service_state& s = *entry.second;
+            s.queue.decisions().set_limit(s.pace.limit());
+            s.queue.settle();
+        }
+        core::gauge_for("requests_in_flight").set(static_cast<double>(context_.in_flight));
+        core::gauge_for("idle_connections").set(static_cast<double>(context_.connections.size()));
+        core::gauge_for("configuration_age_ms")
+            .set(static_cast<double>(core::to_milliseconds(context_.configuration.age())));
+        if (ready() != was_ready_) {
+            was_ready_ = !was_ready_;
+            core::log_event(was_ready_ ? "gateway_ready" : "gateway_not_ready")
+                .field("stopping", context_.stopping)
+                .field("configuration_age_ms", core::to_milliseconds(context_.configuration.age()))
+                .field("endpoints", context_.endpoints.all().size());
+        }
+    }
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::accept_peers()
+{
+    while (peer_listener_.is_open()) {
+        boost::system::error_code failure;
+        core::asio::ip::tcp::socket socket = co_await peer_listener_.async_accept(
+            core::asio::redirect_error(core::asio::use_awaitable, failure));
+        if (failure) {
+            co_await core::sleep_for(upkeep_interval);
+            continue;
+        }
+        core::spawn(executor_,
+                    serve_peer(std::make_shared<wire::framed_connection>(std::move(socket))));
+    }
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::serve_peer(std::shared_ptr<wire::framed_connection> connection)
+{
+    const core::result<std::string> first = co_await core::with_deadline(
+        connection->receive(), core::runtime_clock::now() + wire::silence_limit);
+    const core::result<membership::peer_hello> h =
+        first ? wire::decode<membership::peer_hello>(first.value())
+              : core::result<membership::peer_hello>(first.error());
+    if (!h) {
+        core::counter_for("peer_hellos_refused_total").add();
+        core::log_event("peer_hello_refused", core::log_event::level::warning)
+            .field("reason", h.error().detail);
+        co_return;
+    }
+    co_await hub_->serve(std::move(connection), h.value());
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::registration_loop()
+{
+    while (!context_.stopping) {
+        const intents::host_spec* const own = roster_.own();
+        if (own == nullptr || own->incarnation != incarnation_) {
+            const core::result<void> done = co_await register_self(intents::host_state::live);
+            if (!done) {
+                core::log_event("host_registration_failed", core::log_event::level::warning)
+                    .field("error", core::to_string(done.error().code))
+                    .field("reason", done.error().detail);
+            }
+        }
+        co_await core::sleep_for(std::chrono::seconds(2));
+    }
+}
+
+template <site_platform Site>
+core::task<core::result<void>> gateway_node<Site>::register_self(intents::host_state state)
+{
+    const auto text = [](const settings::address& a) {
+        return a.address().to_string() + ":" + std::to_string(a.port());
+    };
+    intents::host_spec spec;
+    spec.role = intents::host_role::entry;
+    spec.failure_domain = settings_.failure_domain;
+    spec.caller_address = text(settings_.caller_address);
+    spec.peer_address = text(settings_.peer_address);
+    spec.incarnation = incarnation_;
+    spec.state = state;
+    co_return co_await intents::register_host(store_, settings_.host, spec);
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::stop_gracefully()
+{
+    const core::time_point begun = core::runtime_clock::now();
+    hub_->set_leaving();
+    hub_->send_to_all(wire::encode(own_report()));
+    // Callers keep the addresses they were given for a while, and are served meanwhile.
+    co_await core::sleep_for(farewell_time);
+    const core::time_point deadline = begun + settings_.stop_timeout - stop_reserve;
+    while (context_.in_flight > 0 && core::runtime_clock::now() < deadline) {
+        co_await core::sleep_for(upkeep_interval);
+    }
+    core::log_event("gateway_stop_end")
+        .field("in_flight", context_.in_flight)
+        .field("took_ms", core::to_milliseconds(core::runtime_clock::now() - begun));
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::directory_front::operator()(http::server_connection& c,
+                                                                 const http::request& r)
+{
+    const core::result<directory_question> question = Site::read_question(r);
+    if (!question) {
+        http::response answer;
+        answer.status = 404;
+        co_await c.reply(std::move(answer));
+        co_return;
+    }
+    std::vector<std::string> addresses =
+        node.roster_.addresses(question.value().near, node.ready(), core::runtime_clock::now());
+    if (addresses.empty()) {
+        const settings::address& own = node.settings_.caller_address;
+        addresses.push_back(own.address().to_string() + ":" + std::to_string(own.port()));
+    }
+    core::counter_for("address_answers_total").add();
+    http::response answer = Site::write_addresses(addresses, address_lifetime);
+    co_await c.reply(std::move(answer));
+}
+
+template <site_platform Site>
+core::task<void> gateway_node<Site>::readiness_front::operator()(http::server_connection& c,
+                                                                 const http::request&)
+{
+    http::response answer;
+    answer.status = node.ready() ? 200 : 503;
+    answer.body = "{}";
+    co_await c.reply(std::move(answer));
+}
+
+} // namespace currantpitch::gateway
--- /dev/null
+++ b/src/gateway/siteplatform.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "directory/endpointdirectory.h"
+#include "objectstore/storeclient.h"
+#include "proxy/proxymessages.h"
+#include "routes/routetable.h"
+
+#include <chrono>
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantpitch::gateway {
+
+/// A caller's question which entries to use.
+struct directory_question {
+    core::failure_domain_id near;
+};
+
+/// What a gateway needs from the place where it runs: a store, the form of requests and answers,
+/// and where and how configuration and endpoints are written.
+template <class S>
+concept site_platform = objectstore::store_client<typename S::store> &&
+    proxy::proxy_dialect<typename S::dialect> &&
+    requires(const objectstore::object& o, const http::request& request,
+             const std::vector<std::string>& addresses, std::chrono::seconds lifetime)
+{
+    {
+        S::configuration_key()
+        } -> std::same_as<objectstore::object_key>;
+    {
+        S::endpoint_kind()
+        } -> std::same_as<std::string>;
+    {
+        S::decode_configuration(o.body)
+        } -> std::same_as<core::result<routes::configuration>>;
+    {
+        S::decode_endpoint(o)
+        } -> std::same_as<core::result<directory::endpoint_record>>;
+    {
+        S::read_question(request)
+        } -> std::same_as<core::result<directory_question>>;
+    {
+        S::write_addresses(addresses, lifetime)
+        } -> std::same_as<http::response>;
+};
+
+} // namespace currantpitch::gateway
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -3,6 +3,8 @@
 #include "http/httpconstants.h"
 #include "wire/framedconnection.h"
 
+#include <sys/socket.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -23,9 +25,11 @@
     out.method_string(message.method);
     out.target(message.target);
     out.version(11);
-    out.set(beast::http::field::host, "currantpitch");
+    if (!message.header_value("Host")) {
+        out.set(beast::http::field::host, "currantpitch");
+    }
     for (const header& h : message.headers) {
-        out.set(h.name, h.value);
+        out.insert(h.name, h.value);
     }
     out.body() = std::move(message.body);
     out.prepare_payload();
@@ -52,8 +56,12 @@
 
     core::task<core::result<void>> send(request message);
     core::task<core::result<response>> exchange(request message);
+    core::task<core::result<response>> read_head();
     core::task<core::result<response>> open_stream(request message);
     core::task<core::result<std::string>> read_some();
+    core::task<core::result<std::string>> read_rest(std::size_t most_bytes);
+    bool reusable() const;
+    bool quiet();
     void close();
 
     asio::ip::tcp::socket socket_;
@@ -105,6 +113,11 @@
     if (!sent) {
         co_return sent.error();
     }
+    co_return co_await read_head();
+}
+
+core::task<core::result<response>> client_connection::implementation::read_head()
+{
     stream_.emplace();
     stream_->body_limit(boost::none);
     boost::system::error_code failure;
@@ -137,6 +150,38 @@
     co_return std::string();
 }
 
+core::task<core::result<std::string>>
+client_connection::implementation::read_rest(std::size_t most_bytes)
+{
+    std::string body;
+    while (true) {
+        const core::result<std::string> piece = co_await read_some();
+        if (!piece) {
+            co_return piece.error();
+        }
+        if (piece.value().empty()) {
+            co_return body;
+        }
+        body += piece.value();
+        if (body.size() > most_bytes) {
+            co_return error{errc::too_large, "the body is too large"};
+        }
+    }
+}
+
+bool client_connection::implementation::reusable() const
+{
+    return socket_.is_open() && stream_ && stream_->is_done() && stream_->keep_alive() &&
+           buffer_.size() == 0;
+}
+
+bool client_connection::implementation::quiet()
+{
+    char byte = 0;
+    const ssize_t got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void client_connection::implementation::close()
 {
     boost::system::error_code ignored;
@@ -186,6 +231,47 @@
     co_return answer;
 }
 
+core::task<core::result<void>> client_connection::send(request message, core::time_point deadline)
+{
+    core::task<core::result<void>> work = impl_->send(std::move(message));
+    core::result<void> sent = co_await core::with_deadline(std::move(work), deadline);
+    if (!sent) {
+        impl_->close();
+    }
+    co_return sent;
+}
+
+core::task<core::result<response>> client_connection::read_head(core::time_point deadline)
+{
+    core::task<core::result<response>> work = impl_->read_head();
+    core::result<response> head = co_await core::with_deadline(std::move(work), deadline);
+    if (!head) {
+        impl_->close();
+    }
+    co_return head;
+}
+
+core::task<core::result<std::string>> client_connection::read_rest(std::size_t most_bytes,
+                                                                   core::time_point deadline)
+{
+    core::task<core::result<std::string>> work = impl_->read_rest(most_bytes);
+    core::result<std::string> body = co_await core::with_deadline(std::move(work), deadline);
+    if (!body) {
+        impl_->close();
+    }
+    co_return body;
+}
+
+bool client_connection::reusable() const
+{
+    return impl_->reusable();
+}
+
+bool client_connection::quiet() const
+{
+    return impl_->quiet();
+}
+
 core::task<core::result<response>> client_connection::open_stream(request message,
                                                                   core::time_point deadline)
 {
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -26,6 +26,21 @@
     /// whether the server acted is not known.
     core::task<core::result<response>> exchange(request message, core::time_point deadline);
 
+    /// Sends the request; read_head takes the response. On an error the request may have been
+    /// received in part or whole.
+    core::task<core::result<void>> send(request message, core::time_point deadline);
+    /// Reads the head of the next response; its body is read with read_some.
+    core::task<core::result<response>> read_head(core::time_point deadline);
+    /// The rest of the body, at most that many bytes: errc::too_large beyond. errc::closed when
+    /// it was cut off; a body without a stated length is whole only if the connection was ended in
+    /// order.
+    core::task<core::result<std::string>> read_rest(std::size_t most_bytes,
+                                                    core::time_point deadline);
+    /// Whether the last response was read whole, nothing follows it and the server keeps the
+    /// connection open.
+    bool reusable() const;
+    /// Whether nothing has arrived on an idle connection, not even its end.
+    bool quiet() const;
     /// Sends the request and reads the head of the response; its body is read with read_some.
     core::task<core::result<response>> open_stream(request message, core::time_point deadline);
     /// Further bytes of the body; empty at its proper end. errc::closed when it was cut off.
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -2,6 +2,8 @@
 
 #include "http/httpconstants.h"
 
+#include <sys/socket.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -22,12 +24,15 @@
 
     core::task<core::result<request>> read_request();
     core::task<core::result<void>> reply(response answer);
-    core::task<core::result<void>> begin_stream(std::string content_type);
+    core::task<core::result<void>> begin_stream(const response& head);
     core::task<core::result<void>> write(std::string bytes);
+    core::task<void> wait_for_close();
     void close();
 
     bool open_ = true;
     bool keep_alive_ = true;
+    bool finishing_ = false;
+    server_limits limits_;
 
 private:
     core::task<void> refuse(unsigned status, std::string reason);
@@ -39,9 +44,9 @@
 core::task<core::result<request>> server_connection::implementation::read_request()
 {
     beast::http::request_parser<beast::http::string_body> parser;
-    parser.body_limit(max_body_bytes);
-    parser.header_limit(max_head_bytes);
-    stream_.expires_after(idle_limit);
+    parser.body_limit(limits_.body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits_.head_bytes));
+    stream_.expires_after(limits_.idle);
     boost::system::error_code failure;
     co_await beast::http::async_read(stream_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
@@ -62,7 +67,7 @@
         co_return error{errc::malformed, failure.message()};
     }
     const beast::http::request<beast::http::string_body>& message = parser.get();
-    keep_alive_ = message.keep_alive();
+    keep_alive_ = message.keep_alive() && !finishing_;
     request received;
     received.method = std::string(message.method_string());
     received.target = std::string(message.target());
@@ -75,11 +80,14 @@
 
 core::task<core::result<void>> server_connection::implementation::reply(response answer)
 {
+    keep_alive_ = keep_alive_ && !finishing_;
     beast::http::response<beast::http::string_body> message(
         static_cast<beast::http::status>(answer.status), 11);
-    message.set(beast::http::field::content_type, answer.content_type);
+    if (!answer.content_type.empty()) {
+        message.set(beast::http::field::content_type, answer.content_type);
+    }
     for (const header& h : answer.headers) {
-        message.set(h.name, h.value);
+        message.insert(h.name, h.value);
     }
     message.keep_alive(keep_alive_);
     message.body() = std::move(answer.body);
@@ -97,12 +105,22 @@
     co_return core::ok();
 }
 
-core::task<core::result<void>>
-server_connection::implementation::begin_stream(std::string content_type)
+core::task<core::result<void>> server_connection::implementation::begin_stream(const response& head)
 {
-    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + content_type +
-                       "\r\nCache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n";
-    co_return co_await write(std::move(head));
+    keep_alive_ = keep_alive_ && !finishing_;
+    beast::http::response<beast::http::empty_body> message(
+        static_cast<beast::http::status>(head.status), 11);
+    if (!head.content_type.empty()) {
+        message.set(beast::http::field::content_type, head.content_type);
+    }
+    for (const header& h : head.headers) {
+        message.insert(h.name, h.value);
+    }
+    message.keep_alive(keep_alive_);
+    message.chunked(true);
+    std::ostringstream text;
+    text << message.base();
+    co_return co_await write(text.str());
 }
 
 core::task<core::result<void>> server_connection::implementation::write(std::string bytes)
@@ -118,6 +136,20 @@
     co_return core::ok();
 }
 
+core::task<void> server_connection::implementation::wait_for_close()
+{
+    boost::system::error_code failure;
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, failure));
+    char byte = 0;
+    const ssize_t got = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (!failure && got > 0) {
+        // The next request; its reader will see the end of the connection.
+        core::timer never(stream_.get_executor());
+        co_await never.wait_until(core::time_point::max());
+    }
+}
+
 core::task<void> server_connection::implementation::refuse(unsigned status, std::string reason)
 {
     keep_alive_ = false;
@@ -152,7 +184,30 @@
 
 core::task<core::result<void>> server_connection::begin_stream(std::string content_type)
 {
-    return impl_->begin_stream(std::move(content_type));
+    response head;
+    head.content_type = std::move(content_type);
+    head.headers.push_back({"Cache-Control", "no-cache"});
+    co_return co_await impl_->begin_stream(head);
+}
+
+core::task<core::result<void>> server_connection::begin_stream(const response& head)
+{
+    return impl_->begin_stream(head);
+}
+
+core::task<void> server_connection::wait_for_close()
+{
+    return impl_->wait_for_close();
+}
+
+void server_connection::finish_after_answer()
+{
+    impl_->finishing_ = true;
+}
+
+void server_connection::set_limits(const server_limits& limits)
+{
+    impl_->limits_ = limits;
 }
 
 core::task<core::result<void>> server_connection::write_chunk(std::string chunk)
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -3,12 +3,20 @@
 #include "core/error.h"
 #include "core/task.h"
 #include "core/timer.h"
+#include "http/httpconstants.h"
 #include "http/httpmessage.h"
 
 #include <memory>
 
 namespace currantpitch::http {
 
+/// Bounds on what a caller may send, and on the time that it may take.
+struct server_limits {
+    std::size_t head_bytes = max_head_bytes;
+    std::size_t body_bytes = max_body_bytes;
+    std::chrono::milliseconds idle = idle_limit;
+};
+
 /// One connection of a caller. Requests are read and answered one after another; an answer is
 /// either whole or a stream of chunks. A stream that ends without end_stream lacks its terminating
 /// chunk, so that the caller cannot take it for whole.
@@ -24,10 +32,18 @@
     core::task<core::result<request>> read_request();
     core::task<core::result<void>> reply(response answer);
     core::task<core::result<void>> begin_stream(std::string content_type);
+    /// Begins a stream with the head's status and headers; its body is ignored.
+    core::task<core::result<void>> begin_stream(const response& head);
     core::task<core::result<void>> write_chunk(std::string chunk);
     core::task<core::result<void>> end_stream();
 
     void close();
+    /// Ends when the caller closes the connection; not when it sends more.
+    core::task<void> wait_for_close();
+    /// Reads no request after the present one, and says so in its answer.
+    void finish_after_answer();
+    /// Bounds on further requests and on the time between them.
+    void set_limits(const server_limits& limits);
     /// Whether a further request may be read.
     bool reusable() const;
 
--- a/src/intents/catalog.cpp
+++ b/src/intents/catalog.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-void report_bad(const platform::object& o, const std::string& why)
+void report_bad(const objectstore::object& o, const std::string& why)
 {
     core::counter_for("intent_objects_unreadable_total").add();
     core::log_event("object_unreadable", core::log_event::level::warning)
@@ -18,7 +18,7 @@
 }
 
 template <class Id, class Spec>
-void put(std::map<Id, versioned<Spec>>& into, const platform::object& o, const resource& r,
+void put(std::map<Id, versioned<Spec>>& into, const objectstore::object& o, const resource& r,
          spec_report<Spec> parsed)
 {
     if (!parsed.spec) {
@@ -31,7 +31,7 @@
 
 } // namespace
 
-void catalog::update(const platform::object& o)
+void catalog::update(const objectstore::object& o)
 {
     ++changes_;
     const std::optional<resource_kind> kind = kind_from_string(o.key.kind);
--- a/src/intents/catalog.h
+++ b/src/intents/catalog.h
@@ -3,7 +3,7 @@
 #include "core/identifiers.h"
 #include "intents/resource.h"
 #include "intents/specs.h"
-#include "platform/platformclient.h"
+#include "objectstore/storeclient.h"
 
 #include <map>
 #include <vector>
@@ -23,7 +23,7 @@
 class catalog {
 public:
     /// Takes one applied object of the replica.
-    void update(const platform::object& o);
+    void update(const objectstore::object& o);
 
     const std::map<core::service_id, versioned<model_group_spec>>& model_groups() const
     {
--- a/src/intents/configurationfeed.h
+++ b/src/intents/configurationfeed.h
@@ -5,7 +5,7 @@
 #include "intents/disseminator.h"
 #include "intents/intentsconstants.h"
 #include "intents/specs.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
 
 #include <functional>
 #include <random>
@@ -14,7 +14,7 @@
 
 /// Reads the configuration from the platform: one listing at the start, then a watch for as long as
 /// this process has to watch. A silent, closed or gapped watch is replaced.
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 class configuration_feed {
 public:
     configuration_feed(Platform& store, disseminator& decisions, std::uint64_t seed)
@@ -39,7 +39,7 @@
     std::mt19937_64 random_;
 };
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<void> configuration_feed<Platform>::run()
 {
     co_await list();
@@ -54,7 +54,7 @@
     }
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<void> configuration_feed<Platform>::pause()
 {
     std::uniform_int_distribution<std::int64_t> jitter(watch_retry_delay.count() / 2,
@@ -62,13 +62,13 @@
     co_await core::sleep_for(std::chrono::milliseconds(jitter(random_)));
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<void> configuration_feed<Platform>::list()
 {
-    const platform::call_context call{"configuration_list",
-                                      core::runtime_clock::now() + platform::call_timeout};
+    const objectstore::call_context call{"configuration_list",
+                                         core::runtime_clock::now() + objectstore::call_timeout};
     const std::vector<std::string> kinds = all_kind_names();
-    const core::result<platform::listing> l = co_await store_.list(kinds, call);
+    const core::result<objectstore::listing> l = co_await store_.list(kinds, call);
     if (!l) {
         core::log_event("configuration_list_failed", core::log_event::level::warning)
             .field("error", core::to_string(l.error().code))
@@ -78,11 +78,11 @@
     on_news(decisions_.on_listing(l.value(), core::runtime_clock::now()));
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<void> configuration_feed<Platform>::watch()
 {
-    const platform::call_context call{"configuration_watch",
-                                      core::runtime_clock::now() + platform::call_timeout};
+    const objectstore::call_context call{"configuration_watch",
+                                         core::runtime_clock::now() + objectstore::call_timeout};
     const std::vector<std::string> kinds = all_kind_names();
     core::result<typename Platform::watch_type> opened =
         co_await store_.watch(kinds, decisions_.complete(), call);
@@ -91,8 +91,8 @@
     }
     while (opened && must_watch() && !decisions_.wants_listing()) {
         const core::time_point deadline =
-            core::runtime_clock::now() + platform::watch_silence_limit;
-        const core::result<platform::watch_event> event = co_await opened.value().next(deadline);
+            core::runtime_clock::now() + objectstore::watch_silence_limit;
+        const core::result<objectstore::watch_event> event = co_await opened.value().next(deadline);
         if (!event) {
             core::counter_for("configuration_watch_ends_total").add();
             core::log_event("configuration_watch_end")
--- a/src/intents/disseminator.cpp
+++ b/src/intents/disseminator.cpp
@@ -4,14 +4,14 @@
 
 namespace currantpitch::intents {
 
-using platform::object;
+using objectstore::object;
 
 sync_status disseminator::own_status() const
 {
     return {replica_.complete(), replica_.newest(), replica_.content_hash()};
 }
 
-std::vector<sync_outgoing> disseminator::on_listing(const platform::listing& l,
+std::vector<sync_outgoing> disseminator::on_listing(const objectstore::listing& l,
                                                     core::time_point now)
 {
     has_content_ = true;
@@ -21,7 +21,7 @@
     return push(now);
 }
 
-std::vector<sync_outgoing> disseminator::on_watch_event(const platform::watch_event& e,
+std::vector<sync_outgoing> disseminator::on_watch_event(const objectstore::watch_event& e,
                                                         core::time_point now)
 {
     if (e.changed && replica_.apply(*e.changed)) {
--- a/src/intents/disseminator.h
+++ b/src/intents/disseminator.h
@@ -4,7 +4,7 @@
 #include "core/runtimeclock.h"
 #include "intents/replica.h"
 #include "intents/syncmessages.h"
-#include "platform/platformclient.h"
+#include "objectstore/storeclient.h"
 
 #include <map>
 #include <optional>
@@ -24,9 +24,10 @@
 class disseminator {
 public:
     /// A listing of the platform's store.
-    std::vector<sync_outgoing> on_listing(const platform::listing& l, core::time_point now);
+    std::vector<sync_outgoing> on_listing(const objectstore::listing& l, core::time_point now);
     /// An event of the platform's watch that was opened at complete().
-    std::vector<sync_outgoing> on_watch_event(const platform::watch_event& e, core::time_point now);
+    std::vector<sync_outgoing> on_watch_event(const objectstore::watch_event& e,
+                                              core::time_point now);
 
     std::vector<sync_outgoing> on_peer_up(const core::host_id& peer);
     void on_peer_down(const core::host_id& peer);
@@ -46,7 +47,7 @@
     core::revision complete() const { return replica_.complete(); }
     const replica& held() const { return replica_; }
     /// Objects applied since the last call.
-    std::vector<platform::object> take_applied();
+    std::vector<objectstore::object> take_applied();
 
 private:
     struct peer_state {
@@ -67,7 +68,7 @@
 
     replica replica_;
     std::map<core::host_id, peer_state> peers_;
-    std::vector<platform::object> applied_;
+    std::vector<objectstore::object> applied_;
     bool has_content_ = false;
     bool wants_listing_ = false;
 };
--- a/src/intents/hostregistration.h
+++ b/src/intents/hostregistration.h
@@ -2,14 +2,14 @@
 
 #include "core/hashing.h"
 #include "intents/resource.h"
-#include "platform/platformclient.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
+#include "objectstore/storeclient.h"
 
 namespace currantpitch::intents {
 
 /// Writes this process's Host object, over that of an earlier life of the host. Errors are the
 /// platform's; errc::stale when another life of the host has taken its place since.
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<void>> register_host(Platform& store, core::host_id host, host_spec spec)
 {
     resource r;
@@ -17,10 +17,10 @@
     r.name = host.str();
     r.generation = 1;
     r.nonce = std::to_string(spec.incarnation.value);
-    const platform::object_key key = key_of(r);
-    const platform::call_context read{"host_registration",
-                                      core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> present = co_await store.get(key, read);
+    const objectstore::object_key key = key_of(r);
+    const objectstore::call_context read{"host_registration",
+                                         core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> present = co_await store.get(key, read);
     core::revision expected;
     if (present) {
         const core::result<resource> known = from_object(present.value());
@@ -39,9 +39,9 @@
         co_return present.error();
     }
     r.spec = to_json(spec);
-    const platform::call_context write{"host_registration",
-                                       core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> written =
+    const objectstore::call_context write{"host_registration",
+                                          core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> written =
         co_await store.put(key, to_body(r), expected, write);
     if (!written) {
         co_return written.error();
@@ -50,14 +50,14 @@
 }
 
 /// Removes this process's Host object, unless another life of the host has written its own.
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<void>> unregister_host(Platform& store, core::host_id host,
                                                core::incarnation life)
 {
-    const platform::object_key key{std::string(to_string(resource_kind::host)), host.str()};
-    const platform::call_context read{"host_registration",
-                                      core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> present = co_await store.get(key, read);
+    const objectstore::object_key key{std::string(to_string(resource_kind::host)), host.str()};
+    const objectstore::call_context read{"host_registration",
+                                         core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> present = co_await store.get(key, read);
     if (!present) {
         co_return present.error();
     }
@@ -67,9 +67,9 @@
     if (spec.spec && spec.spec->incarnation != life) {
         co_return core::error{core::errc::stale, "another life of the host has registered"};
     }
-    const platform::call_context write{"host_registration",
-                                       core::runtime_clock::now() + platform::call_timeout};
-    const core::result<platform::object> gone =
+    const objectstore::call_context write{"host_registration",
+                                          core::runtime_clock::now() + objectstore::call_timeout};
+    const core::result<objectstore::object> gone =
         co_await store.remove(key, present.value().version, write);
     if (!gone) {
         co_return gone.error();
--- a/src/intents/replica.cpp
+++ b/src/intents/replica.cpp
@@ -8,8 +8,8 @@
 
 namespace currantpitch::intents {
 
-using platform::object;
-using platform::object_key;
+using objectstore::object;
+using objectstore::object_key;
 
 namespace {
 
--- a/src/intents/replica.h
+++ b/src/intents/replica.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/identifiers.h"
-#include "platform/platformclient.h"
+#include "objectstore/storeclient.h"
 
 #include <map>
 #include <utility>
@@ -17,7 +17,7 @@
     core::revision to;
     /// The objects are all that exist, instead of only what changed.
     bool full = false;
-    std::vector<platform::object> objects;
+    std::vector<objectstore::object> objects;
 };
 
 /// The configuration held by one process. Each object only moves to higher versions, deletions
@@ -26,9 +26,9 @@
 class replica {
 public:
     /// Takes one object. False when it is not newer than what is held or known to be gone.
-    bool apply(const platform::object& o);
+    bool apply(const objectstore::object& o);
     /// Takes changes. Returns what was applied. Changes that leave a gap do not move complete().
-    std::vector<platform::object> apply(const change_set& changes);
+    std::vector<objectstore::object> apply(const change_set& changes);
     /// States that everything up to the revision has been applied.
     void mark_complete(core::revision at);
 
@@ -39,21 +39,24 @@
     /// Highest version held, at or above complete().
     core::revision newest() const { return newest_; }
 
-    const platform::object* find(const platform::object_key& key) const;
+    const objectstore::object* find(const objectstore::object_key& key) const;
     /// All objects held, tombstones included.
-    const std::map<platform::object_key, platform::object>& objects() const { return objects_; }
+    const std::map<objectstore::object_key, objectstore::object>& objects() const
+    {
+        return objects_;
+    }
 
     /// What a peer that is complete up to the revision lacks.
     change_set changes_since(core::revision from) const;
 
 private:
-    void store(const platform::object& o);
-    bool newer_than_held(const platform::object& o) const;
-    std::vector<platform::object_key> missing_from(const change_set& full) const;
+    void store(const objectstore::object& o);
+    bool newer_than_held(const objectstore::object& o) const;
+    std::vector<objectstore::object_key> missing_from(const change_set& full) const;
 
-    std::map<platform::object_key, platform::object> objects_;
+    std::map<objectstore::object_key, objectstore::object> objects_;
     /// Deletions held in objects_, oldest first.
-    std::map<std::pair<core::revision, platform::object_key>, bool> tombstones_;
+    std::map<std::pair<core::revision, objectstore::object_key>, bool> tombstones_;
     /// Deletions at or below this revision may have been dropped from objects_.
     core::revision forgotten_;
     core::revision complete_;
--- a/src/intents/resource.cpp
+++ b/src/intents/resource.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-platform::object_key key_of(const resource& r)
+objectstore::object_key key_of(const resource& r)
 {
     return {std::string(to_string(r.kind)), r.name};
 }
@@ -64,7 +64,7 @@
     return json::serialize(body);
 }
 
-core::result<resource> from_object(const platform::object& o)
+core::result<resource> from_object(const objectstore::object& o)
 {
     const std::optional<resource_kind> kind = kind_from_string(o.key.kind);
     boost::system::error_code failure;
--- a/src/intents/resource.h
+++ b/src/intents/resource.h
@@ -3,7 +3,7 @@
 #include "core/error.h"
 #include "core/finding.h"
 #include "intents/specs.h"
-#include "platform/platformclient.h"
+#include "objectstore/storeclient.h"
 
 #include <boost/json.hpp>
 
@@ -31,12 +31,12 @@
     std::vector<remembered_change> changes;
 };
 
-platform::object_key key_of(const resource& r);
+objectstore::object_key key_of(const resource& r);
 
 /// Body of the store's object.
 std::string to_body(const resource& r);
 /// The resource in an object; errc::malformed when the body is none of ours.
-core::result<resource> from_object(const platform::object& o);
+core::result<resource> from_object(const objectstore::object& o);
 
 /// The resource as operators see it, without status.
 boost::json::object to_document(const resource& r);
--- a/src/intents/resourceservice.h
+++ b/src/intents/resourceservice.h
@@ -4,7 +4,7 @@
 #include "core/eventlog.h"
 #include "core/hashing.h"
 #include "intents/resource.h"
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
 
 #include <random>
 
@@ -27,7 +27,7 @@
 
 /// Accepts operators' writes: validation first, then one conditional write to the platform, which
 /// is the moment of acceptance. A write whose answer was lost is recognised by its nonce.
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 class resource_service {
 public:
     resource_service(Platform& store, std::uint64_t seed) : store_(store), random_(seed) {}
@@ -42,22 +42,22 @@
 private:
     static constexpr int max_reads_after_lost_answer = 3;
 
-    platform::call_context call(std::string_view cause) const
+    objectstore::call_context call(std::string_view cause) const
     {
-        return {cause, core::runtime_clock::now() + platform::call_timeout};
+        return {cause, core::runtime_clock::now() + objectstore::call_timeout};
     }
-    core::task<core::result<std::optional<resource>>> present(platform::object_key key);
+    core::task<core::result<std::optional<resource>>> present(objectstore::object_key key);
     core::task<write_result<resource>> settle_lost_write(resource written);
 
     Platform& store_;
     std::mt19937_64 random_;
 };
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<std::optional<resource>>>
-resource_service<Platform>::present(platform::object_key key)
+resource_service<Platform>::present(objectstore::object_key key)
 {
-    const core::result<platform::object> found = co_await store_.get(key, call("intent_read"));
+    const core::result<objectstore::object> found = co_await store_.get(key, call("intent_read"));
     if (!found && found.error().code == core::errc::not_found) {
         co_return std::optional<resource>();
     }
@@ -71,11 +71,11 @@
     co_return std::optional<resource>(std::move(r.value()));
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<core::result<resource>> resource_service<Platform>::get(resource_kind kind,
                                                                    std::string name)
 {
-    const platform::object_key key{std::string(to_string(kind)), name};
+    const objectstore::object_key key{std::string(to_string(kind)), name};
     core::result<std::optional<resource>> found = co_await present(key);
     if (!found) {
         co_return found.error();
@@ -86,7 +86,7 @@
     co_return std::move(*found.value());
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<write_result<resource>> resource_service<Platform>::apply(resource_draft draft)
 {
     if (!operator_writable(draft.kind)) {
@@ -95,7 +95,7 @@
                                 {},
                                 {}};
     }
-    const platform::object_key key{std::string(to_string(draft.kind)), draft.name};
+    const objectstore::object_key key{std::string(to_string(draft.kind)), draft.name};
     core::result<std::optional<resource>> now = co_await present(key);
     if (!now) {
         co_return write_refusal{now.error(), {}, {}, {}};
@@ -112,7 +112,7 @@
         co_return refusal;
     }
     resource next = next_of(draft, now.value(), std::to_string(random_()));
-    const core::result<platform::object> written =
+    const core::result<objectstore::object> written =
         co_await store_.put(key, to_body(next), present_version, call("intent_write"));
     if (written) {
         next.version = written.value().version;
@@ -122,17 +122,17 @@
         now = co_await present(key);
         co_return write_refusal{written.error(), {}, now ? now.value() : std::nullopt, {}};
     }
-    if (!platform::effect_unknown(written.error())) {
+    if (!objectstore::effect_unknown(written.error())) {
         co_return write_refusal{written.error(), {}, {}, {}};
     }
     co_return co_await settle_lost_write(std::move(next));
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<write_result<resource>> resource_service<Platform>::settle_lost_write(resource written)
 {
     core::counter_for("intent_writes_with_lost_answer_total").add();
-    const platform::object_key key = key_of(written);
+    const objectstore::object_key key = key_of(written);
     for (int i = 0; i < max_reads_after_lost_answer; ++i) {
         core::result<std::optional<resource>> now = co_await present(key);
         if (now && now.value() && now.value()->nonce == written.nonce) {
@@ -150,12 +150,12 @@
         {core::errc::timeout, "the outcome of the write is not known"}, {}, {}, {}};
 }
 
-template <platform::platform_client Platform>
+template <objectstore::store_client Platform>
 core::task<write_result<core::revision>>
 resource_service<Platform>::remove(resource_kind kind, std::string name,
                                    std::optional<core::revision> version)
 {
-    const platform::object_key key{std::string(to_string(kind)), name};
+    const objectstore::object_key key{std::string(to_string(kind)), name};
     if (!operator_writable(kind)) {
         co_return write_refusal{{core::errc::invalid_argument, "the kind is read-only"},
                                 {{"kind", "is written by the system only"}},
@@ -179,7 +179,7 @@
         }
         co_return refusal;
     }
-    const core::result<platform::object> gone =
+    const core::result<objectstore::object> gone =
         co_await store_.remove(key, *version, call("intent_write"));
     if (gone) {
         co_return gone.value().version;
--- a/src/intents/syncmessages.h
+++ b/src/intents/syncmessages.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace currantpitch::platform {
+namespace currantpitch::objectstore {
 
 template <class Archive>
 void describe(Archive& archive, object_key& m)
@@ -19,7 +19,7 @@
     archive(m.key, m.version, m.body, m.deleted);
 }
 
-} // namespace currantpitch::platform
+} // namespace currantpitch::objectstore
 
 namespace currantpitch::intents {
 
@@ -51,7 +51,7 @@
     core::revision from;
     core::revision to;
     bool full = false;
-    std::vector<platform::object> objects;
+    std::vector<objectstore::object> objects;
 };
 template <class Archive>
 void describe(Archive& archive, sync_changes& m)
@@ -98,7 +98,7 @@
 struct agent_configuration {
     static constexpr std::uint8_t type = agent_configuration_type;
     core::revision complete;
-    std::vector<platform::object> objects;
+    std::vector<objectstore::object> objects;
 };
 template <class Archive>
 void describe(Archive& archive, agent_configuration& m)
--- a/src/intents/tests/tst_dissemination.cpp
+++ b/src/intents/tests/tst_dissemination.cpp
@@ -1,4 +1,4 @@
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 #include "intents/configurationfeed.h"
 #include "intents/disseminator.h"
 #include "intents/synctopology.h"
@@ -82,7 +82,7 @@
             std::max<std::uint64_t>(watch_position_[i], processes_[i]->complete().value);
         if (next < store_.size()) {
             watch_position_[i] = next + 1;
-            const platform::object& o = store_[next];
+            const objectstore::object& o = store_[next];
             send(i, processes_[i]->on_watch_event({o, o.version}, now));
             check(i);
         }
@@ -96,12 +96,12 @@
     }
     void list(std::size_t i)
     {
-        std::map<platform::object_key, platform::object> present;
-        for (const platform::object& o : store_) {
+        std::map<objectstore::object_key, objectstore::object> present;
+        for (const objectstore::object& o : store_) {
             present[o.key] = o;
         }
-        platform::listing l{core::revision{store_.size()}, {}};
-        for (const std::pair<const platform::object_key, platform::object>& entry : present) {
+        objectstore::listing l{core::revision{store_.size()}, {}};
+        for (const std::pair<const objectstore::object_key, objectstore::object>& entry : present) {
             if (!entry.second.deleted) {
                 l.objects.push_back(entry.second);
             }
@@ -156,14 +156,15 @@
     void check_contents() const
     {
         for (const std::unique_ptr<disseminator>& p : processes_) {
-            std::map<platform::object_key, platform::object> expected;
-            for (const platform::object& o : store_) {
+            std::map<objectstore::object_key, objectstore::object> expected;
+            for (const objectstore::object& o : store_) {
                 if (o.version <= p->complete()) {
                     expected[o.key] = o;
                 }
             }
-            for (const std::pair<const platform::object_key, platform::object>& e : expected) {
-                const platform::object* const held = p->held().find(e.first);
+            for (const std::pair<const objectstore::object_key, objectstore::object>& e :
+                 expected) {
+                const objectstore::object* const held = p->held().find(e.first);
                 const bool newer = held != nullptr && held->version > e.second.version;
                 const bool same = e.second.deleted
                                       ? held == nullptr
@@ -208,7 +209,7 @@
     // Versions of each process never go back.
     void check(std::size_t i)
     {
-        for (const platform::object& o : processes_[i]->take_applied()) {
+        for (const objectstore::object& o : processes_[i]->take_applied()) {
             core::revision& highest = held_[i][o.key];
             RC_ASSERT(o.version > highest);
             highest = o.version;
@@ -217,12 +218,12 @@
 
     std::vector<sync_member> members_;
     std::mt19937_64 random_;
-    std::vector<platform::object> store_;
+    std::vector<objectstore::object> store_;
     std::vector<std::unique_ptr<disseminator>> processes_;
     std::map<std::pair<std::size_t, std::size_t>, bool> links_;
     std::map<std::pair<std::size_t, std::size_t>, std::deque<sync_outgoing>> queues_;
     std::map<std::size_t, std::uint64_t> watch_position_;
-    std::map<std::size_t, std::map<platform::object_key, core::revision>> held_;
+    std::map<std::size_t, std::map<objectstore::object_key, core::revision>> held_;
 };
 
 void run_world(testing::script& s)
@@ -351,9 +352,9 @@
 TEST_GROUP(feeds)
 {
     testing::paused_run run;
-    fakes::memory_platform store{run.executor()};
+    fakes::memory_store store{run.executor()};
     disseminator decisions;
-    configuration_feed<fakes::memory_platform> feed{store, decisions, 1};
+    configuration_feed<fakes::memory_store> feed{store, decisions, 1};
 
     void setup() override
     {
@@ -367,9 +368,9 @@
     }
     void accept(const std::string& name)
     {
-        run.spawn([](fakes::memory_platform& s, std::string n) -> core::task<void> {
-            const platform::object_key key{"Workspace", n};
-            const platform::call_context call{"test", core::runtime_clock::now() + 1s};
+        run.spawn([](fakes::memory_store& s, std::string n) -> core::task<void> {
+            const objectstore::object_key key{"Workspace", n};
+            const objectstore::call_context call{"test", core::runtime_clock::now() + 1s};
             co_await s.put(key, "{}", {}, call);
         }(store, name));
     }
--- a/src/intents/tests/tst_replica.cpp
+++ b/src/intents/tests/tst_replica.cpp
@@ -9,7 +9,7 @@
 using namespace currantpitch;
 using intents::change_set;
 using intents::replica;
-using platform::object;
+using objectstore::object;
 
 namespace {
 
@@ -32,14 +32,14 @@
 
 bool same_content(const replica& a, const replica& b)
 {
-    std::map<platform::object_key, core::revision> left;
-    std::map<platform::object_key, core::revision> right;
-    for (const std::pair<const platform::object_key, object>& entry : a.objects()) {
+    std::map<objectstore::object_key, core::revision> left;
+    std::map<objectstore::object_key, core::revision> right;
+    for (const std::pair<const objectstore::object_key, object>& entry : a.objects()) {
         if (!entry.second.deleted) {
             left[entry.first] = entry.second.version;
         }
     }
-    for (const std::pair<const platform::object_key, object>& entry : b.objects()) {
+    for (const std::pair<const objectstore::object_key, object>& entry : b.objects()) {
         if (!entry.second.deleted) {
             right[entry.first] = entry.second.version;
         }
--- a/src/intents/tests/tst_resourceservice.cpp
+++ b/src/intents/tests/tst_resourceservice.cpp
@@ -1,4 +1,4 @@
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 #include "intents/resourceservice.h"
 
 #include "support/pausedrun.h"
@@ -26,13 +26,13 @@
 TEST_GROUP(operator_writes)
 {
     testing::paused_run run;
-    fakes::memory_platform store{run.executor()};
-    resource_service<fakes::memory_platform> service{store, 1};
+    fakes::memory_store store{run.executor()};
+    resource_service<fakes::memory_store> service{store, 1};
 
     std::optional<write_result<resource>> apply(resource_draft draft, core::duration wait = 5s)
     {
         std::optional<write_result<resource>> outcome;
-        run.spawn([](resource_service<fakes::memory_platform>& s, resource_draft d,
+        run.spawn([](resource_service<fakes::memory_store>& s, resource_draft d,
                      std::optional<write_result<resource>>& out) -> core::task<void> {
             out = co_await s.apply(std::move(d));
         }(service, std::move(draft), outcome));
--- a/src/platform/httpplatform.cpp
+++ b/src/objectstore/httpstore.cpp
@@ -1,10 +1,10 @@
-#include "platform/httpplatform.h"
+#include "objectstore/httpstore.h"
 
 #include "core/counters.h"
-#include "platform/internal/platformcodec.h"
-#include "platform/platformconstants.h"
+#include "objectstore/internal/storecodec.h"
+#include "objectstore/objectstoreconstants.h"
 
-namespace currantpitch::platform {
+namespace currantpitch::objectstore {
 
 using core::errc;
 using core::error;
@@ -68,14 +68,13 @@
     co_return event_from_json(*line);
 }
 
-http_platform::http_platform(const core::asio::any_io_executor& executor,
-                             core::asio::ip::tcp::endpoint address)
+http_store::http_store(const core::asio::any_io_executor& executor,
+                       core::asio::ip::tcp::endpoint address)
     : executor_(executor), address_(std::move(address))
 {
 }
 
-core::task<core::result<http::client_connection>>
-http_platform::connection(core::time_point deadline)
+core::task<core::result<http::client_connection>> http_store::connection(core::time_point deadline)
 {
     if (!idle_.empty()) {
         http::client_connection kept = std::move(idle_.front());
@@ -90,7 +89,7 @@
     co_return std::move(fresh);
 }
 
-core::task<core::result<std::string>> http_platform::call(http::request message, call_context call)
+core::task<core::result<std::string>> http_store::call(http::request message, call_context call)
 {
     count(call);
     core::result<http::client_connection> from = co_await connection(call.deadline);
@@ -113,7 +112,7 @@
     co_return std::move(answer.value().body);
 }
 
-core::task<core::result<object>> http_platform::get(object_key key, call_context context)
+core::task<core::result<object>> http_store::get(object_key key, call_context context)
 {
     http::request message;
     message.target = path_of(key);
@@ -124,8 +123,8 @@
     co_return object_from_json(body.value());
 }
 
-core::task<core::result<listing>> http_platform::list(std::vector<std::string> kinds,
-                                                      call_context context)
+core::task<core::result<listing>> http_store::list(std::vector<std::string> kinds,
+                                                   call_context context)
 {
     http::request message;
     message.target = "/objects?kinds=" + joined(kinds);
@@ -136,8 +135,8 @@
     co_return listing_from_json(body.value());
 }
 
-core::task<core::result<object>> http_platform::put(object_key key, std::string body,
-                                                    core::revision expected, call_context context)
+core::task<core::result<object>> http_store::put(object_key key, std::string body,
+                                                 core::revision expected, call_context context)
 {
     if (body.size() > max_object_bytes) {
         co_return error{errc::too_large, "the object is too large"};
@@ -153,8 +152,8 @@
     co_return object_from_json(answer.value());
 }
 
-core::task<core::result<object>> http_platform::remove(object_key key, core::revision expected,
-                                                       call_context context)
+core::task<core::result<object>> http_store::remove(object_key key, core::revision expected,
+                                                    call_context context)
 {
     http::request message;
     message.method = "DELETE";
@@ -166,8 +165,8 @@
     co_return object_from_json(answer.value());
 }
 
-core::task<core::result<http_watch>> http_platform::watch(std::vector<std::string> kinds,
-                                                          core::revision from, call_context context)
+core::task<core::result<http_watch>> http_store::watch(std::vector<std::string> kinds,
+                                                       core::revision from, call_context context)
 {
     count(context);
     http::client_connection connection(executor_);
@@ -188,4 +187,4 @@
     co_return http_watch(std::move(connection));
 }
 
-} // namespace currantpitch::platform
+} // namespace currantpitch::objectstore
--- a/src/platform/httpplatform.h
+++ b/src/objectstore/httpstore.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "http/clientconnection.h"
-#include "platform/platformclient.h"
+#include "objectstore/storeclient.h"
 
 #include <deque>
 
-namespace currantpitch::platform {
+namespace currantpitch::objectstore {
 
 /// A watch over HTTP: one JSON event a line.
 class http_watch {
@@ -22,12 +22,11 @@
 };
 
 /// The platform's store over HTTP. Keeps a few connections open between calls.
-class http_platform {
+class http_store {
 public:
     using watch_type = http_watch;
 
-    http_platform(const core::asio::any_io_executor& executor,
-                  core::asio::ip::tcp::endpoint address);
+    http_store(const core::asio::any_io_executor& executor, core::asio::ip::tcp::endpoint address);
 
     core::task<core::result<object>> get(object_key key, call_context call);
     core::task<core::result<listing>> list(std::vector<std::string> kinds, call_context call);
@@ -47,6 +46,6 @@
     std::deque<http::client_connection> idle_;
 };
 
-static_assert(platform_client<http_platform>);
+static_assert(store_client<http_store>);
 
-} // namespace currantpitch::platform
+} // namespace currantpitch::objectstore
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/objectstore/internal/storecodec.cpp
@@ -1,8 +1,8 @@
-#include "platform/internal/platformcodec.h"
+#include "objectstore/internal/storecodec.h"
 
 #include <boost/json.hpp>
 
-namespace currantpitch::platform {
+namespace currantpitch::objectstore {
 
 namespace json = boost::json;
 using core::errc;
@@ -141,4 +141,4 @@
     return event;
 }
 
-} // namespace currantpitch::platform
+} // namespace currantpitch::objectstore
--- a/src/platform/internal/platformcodec.h
+++ b/src/objectstore/internal/storecodec.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/platformclient.h"
+#include "objectstore/storeclient.h"
 
 #include <string>
 #include <string_view>
 
-namespace currantpitch::platform {
+namespace currantpitch::objectstore {
 
 /// JSON form of an object, as the store's HTTP interface writes it.
 std::string to_json(const object& o);
@@ -17,4 +17,4 @@
 core::result<listing> listing_from_json(std::string_view text);
 core::result<watch_event> event_from_json(std::string_view text);
 
-} // namespace currantpitch::platform
+} // namespace currantpitch::objectstore
--- /dev/null
+++ b/src/objectstore/kindfeed.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "core/counters.h"
+#include "core/eventlog.h"
+#include "core/timer.h"
+#include "objectstore/objectstoreconstants.h"
+#include "objectstore/storeclient.h"
+
+#include <concepts>
+#include <random>
+#include <string>
+
+namespace currantpitch::objectstore {
+
+/// What takes the content of one kind in.
+template <class S>
+concept feed_sink = requires(S& s, const listing& whole, const object& changed, core::boot_time t)
+{
+    s.take_listing(whole);
+    s.take_change(changed);
+    /// Everything that was known is still current as of that time.
+    s.take_proof(t);
+    /// The store answers again after it had not for a time.
+    s.take_store_back();
+};
+
+/// Follows one kind of objects in the store: a listing, then a watch for as long as it holds. Each
+/// failure is retried after a jittered pause; a watch whose history is gone begins with a listing.
+template <store_client Store, feed_sink Sink>
+class kind_feed {
+public:
+    kind_feed(Store& store, std::string kind, Sink& sink, std::uint64_t seed)
+        : store_(store), kind_(std::move(kind)), sink_(sink), random_(seed)
+    {
+    }
+
+    core::task<void> run();
+
+private:
+    core::task<core::result<core::revision>> list();
+    core::task<core::error> follow(core::revision from);
+    core::task<void> pause();
+    void on_failure(std::string_view call, const core::error& e);
+    void on_answer();
+
+    Store& store_;
+    std::string kind_;
+    Sink& sink_;
+    std::mt19937_64 random_;
+    bool failing_ = false;
+    core::time_point failing_since_;
+};
+
+template <store_client Store, feed_sink Sink>
+core::task<void> kind_feed<Store, Sink>::run()
+{
+    while (true) {
+        core::result<core::revision> at = co_await list();
+        if (!at) {
+            on_failure("list", at.error());
+            co_await pause();
+            continue;
+        }
+        core::revision from = at.value();
+        const core::error ended = co_await follow(from);
+        on_failure("watch", ended);
+        co_await pause();
+    }
+}
+
+template <store_client Store, feed_sink Sink>
+core::task<core::result<core::revision>> kind_feed<Store, Sink>::list()
+{
+    const call_context call{kind_, core::runtime_clock::now() + call_timeout};
+    const std::vector<std::string> kinds{kind_};
+    const core::result<listing> whole = co_await store_.list(kinds, call);
+    if (!whole) {
+        co_return whole.error();
+    }
+    on_answer();
+    sink_.take_listing(whole.value());
+    sink_.take_proof(whole.value().current_as_of);
+    co_return whole.value().at;
+}
+
+template <store_client Store, feed_sink Sink>
+core::task<core::error> kind_feed<Store, Sink>::follow(core::revision from)
+{
+    const std::vector<std::string> kinds{kind_};
+    while (true) {
+        const call_context call{kind_, core::runtime_clock::now() + call_timeout};
+        core::result<typename Store::watch_type> opened = co_await store_.watch(kinds, from, call);
+        core::error failure{core::errc::closed, ""};
+        if (!opened) {
+            failure = opened.error();
+        }
+        while (opened) {
+            const core::time_point deadline = core::runtime_clock::now() + watch_silence_limit;
+            const core::result<watch_event> event = co_await opened.value().next(deadline);
+            if (!event) {
+                failure = event.error();
+                break;
+            }
+            on_answer();
+            from = event.value().at;
+            if (event.value().changed) {
+                sink_.take_change(*event.value().changed);
+            }
+            else {
+                sink_.take_proof(event.value().current_as_of);
+            }
+        }
+        if (failure.code == core::errc::stale) {
+            co_return failure;
+        }
+        on_failure("watch", failure);
+        co_await pause();
+    }
+}
+
+template <store_client Store, feed_sink Sink>
+core::task<void> kind_feed<Store, Sink>::pause()
+{
+    std::uniform_int_distribution<std::int64_t> jitter(watch_retry_delay.count() / 2,
+                                                       watch_retry_delay.count());
+    co_await core::sleep_for(std::chrono::milliseconds(jitter(random_)));
+}
+
+template <store_client Store, feed_sink Sink>
+void kind_feed<Store, Sink>::on_failure(std::string_view call, const core::error& e)
+{
+    core::counter_for("store_feed_failures_total", "kind=\"" + kind_ + "\"").add();
+    if (failing_ || e.code == core::errc::stale) {
+        return;
+    }
+    failing_ = true;
+    failing_since_ = core::runtime_clock::now();
+    core::log_event("store_lost", core::log_event::level::warning)
+        .field("kind", kind_)
+        .field("call", call)
+        .field("error", core::to_string(e.code))
+        .field("reason", e.detail);
+}
+
+template <store_client Store, feed_sink Sink>
+void kind_feed<Store, Sink>::on_answer()
+{
+    if (!failing_) {
+        return;
+    }
+    failing_ = false;
+    const core::duration away = core::runtime_clock::now() - failing_since_;
+    core::log_event("store_regained")
+        .field("kind", kind_)
+        .field("away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(away).count());
+    sink_.take_store_back();
+}
+
+} // namespace currantpitch::objectstore
--- a/src/platform/platformclient.h
+++ b/src/objectstore/storeclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/bootclock.h"
 #include "core/error.h"
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
@@ -11,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace currantpitch::platform {
+namespace currantpitch::objectstore {
 
 /// Names one object of the store.
 struct object_key {
@@ -36,12 +37,17 @@
 struct listing {
     core::revision at;
     std::vector<object> objects;
+    /// When the call was sent: the content is no older. Zero where the client does not tell.
+    core::boot_time current_as_of{};
 };
 
 /// A change, or a bookmark: everything up to the revision has been sent.
 struct watch_event {
     std::optional<object> changed;
     core::revision at;
+    /// When the call that brought it was sent: what was not reported had not changed by then.
+    /// Zero where the client does not tell.
+    core::boot_time current_as_of{};
 };
 
 /// Why a call is made, for the count of calls by cause, and until when it may take.
@@ -64,8 +70,8 @@
 /// replace, zero to create. Errors: errc::conflict and errc::not_found (nothing happened),
 /// errc::unavailable (nothing happened), errc::timeout and errc::closed (the effect is not known).
 template <class P>
-concept platform_client = requires(P& p, object_key key, std::string body, core::revision expected,
-                                   call_context call, std::vector<std::string> kinds)
+concept store_client = requires(P& p, object_key key, std::string body, core::revision expected,
+                                call_context call, std::vector<std::string> kinds)
 {
     {
         p.get(key, call)
@@ -92,4 +98,4 @@
     return e.code == core::errc::timeout || e.code == core::errc::closed;
 }
 
-} // namespace currantpitch::platform
+} // namespace currantpitch::objectstore
--- a/src/platform/tests/tst_platform.cpp
+++ b/src/objectstore/tests/tst_objectstore.cpp
@@ -1,7 +1,7 @@
-#include "fakes/platformserver.h"
-#include "platform/httpplatform.h"
-#include "platform/internal/platformcodec.h"
-#include "platform/platformconstants.h"
+#include "fakes/storeserver.h"
+#include "objectstore/httpstore.h"
+#include "objectstore/internal/storecodec.h"
+#include "objectstore/objectstoreconstants.h"
 
 #include "support/rapidcheck.h"
 
@@ -12,7 +12,7 @@
 
 namespace {
 
-platform::call_context within(core::duration d)
+objectstore::call_context within(core::duration d)
 {
     return {"test", core::runtime_clock::now() + d};
 }
@@ -24,9 +24,9 @@
     asio::io_context context{1};
     asio::ip::tcp::acceptor acceptor(
         context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    fakes::memory_platform store(context.get_executor());
-    fakes::platform_server server(store);
-    platform::http_platform client(context.get_executor(), acceptor.local_endpoint());
+    fakes::memory_store store(context.get_executor());
+    fakes::store_server server(store);
+    objectstore::http_store client(context.get_executor(), acceptor.local_endpoint());
     core::spawn(context.get_executor(), http::serve(acceptor, server));
     asio::co_spawn(context, script(client, store), [&context](std::exception_ptr failure) {
         context.stop();
@@ -41,22 +41,21 @@
 
 TEST(http_client, writes_are_conditional)
 {
-    run_with_server([](platform::http_platform& client,
-                       fakes::memory_platform&) -> core::task<void> {
-        const platform::object_key key{"Workspace", "mali koderi/1"};
-        const core::result<platform::object> created =
+    run_with_server([](objectstore::http_store& client, fakes::memory_store&) -> core::task<void> {
+        const objectstore::object_key key{"Workspace", "mali koderi/1"};
+        const core::result<objectstore::object> created =
             co_await client.put(key, "one", {}, within(std::chrono::seconds(5)));
         CHECK(created.has_value());
-        const core::result<platform::object> again =
+        const core::result<objectstore::object> again =
             co_await client.put(key, "two", {}, within(std::chrono::seconds(5)));
         CHECK(again.error().code == core::errc::conflict);
-        const core::result<platform::object> updated = co_await client.put(
+        const core::result<objectstore::object> updated = co_await client.put(
             key, "two", created.value().version, within(std::chrono::seconds(5)));
         CHECK(updated.value().version > created.value().version);
-        const core::result<platform::object> read =
+        const core::result<objectstore::object> read =
             co_await client.get(key, within(std::chrono::seconds(5)));
         CHECK(read.value() == updated.value());
-        const core::result<platform::object> gone =
+        const core::result<objectstore::object> gone =
             co_await client.remove(key, updated.value().version, within(std::chrono::seconds(5)));
         CHECK(gone.value().deleted);
         CHECK((co_await client.get(key, within(std::chrono::seconds(5)))).error().code ==
@@ -66,21 +65,21 @@
 
 TEST(http_client, watch_carries_changes_and_deletions)
 {
-    run_with_server([](platform::http_platform& client,
-                       fakes::memory_platform& store) -> core::task<void> {
-        const platform::object_key key{"Workspace", "a"};
+    run_with_server([](objectstore::http_store& client,
+                       fakes::memory_store& store) -> core::task<void> {
+        const objectstore::object_key key{"Workspace", "a"};
         const std::vector<std::string> kinds(1, "Workspace");
-        core::result<platform::http_watch> watch =
+        core::result<objectstore::http_watch> watch =
             co_await client.watch(kinds, {}, within(std::chrono::seconds(5)));
-        const core::result<platform::object> created =
+        const core::result<objectstore::object> created =
             co_await store.put(key, "one", {}, within(std::chrono::seconds(5)));
-        const platform::object_key other{"Other", "x"};
+        const objectstore::object_key other{"Other", "x"};
         co_await store.put(other, "one", {}, within(std::chrono::seconds(5)));
         co_await store.remove(key, created.value().version, within(std::chrono::seconds(5)));
         const core::time_point deadline = core::runtime_clock::now() + std::chrono::seconds(5);
-        const core::result<platform::watch_event> first = co_await watch.value().next(deadline);
+        const core::result<objectstore::watch_event> first = co_await watch.value().next(deadline);
         CHECK(first.value().changed->body == "one");
-        const core::result<platform::watch_event> second = co_await watch.value().next(deadline);
+        const core::result<objectstore::watch_event> second = co_await watch.value().next(deadline);
         CHECK(second.value().changed->deleted);
     });
 }
@@ -88,18 +87,18 @@
 TEST(http_client, outage_and_lost_answer_are_told_apart)
 {
     run_with_server(
-        [](platform::http_platform& client, fakes::memory_platform& store) -> core::task<void> {
-            const platform::object_key key{"Workspace", "a"};
+        [](objectstore::http_store& client, fakes::memory_store& store) -> core::task<void> {
+            const objectstore::object_key key{"Workspace", "a"};
             store.faults.away = true;
-            const core::result<platform::object> refused =
+            const core::result<objectstore::object> refused =
                 co_await client.put(key, "one", {}, within(std::chrono::seconds(5)));
             CHECK(refused.error().code == core::errc::unavailable);
             store.faults.away = false;
             store.faults.lose_answers = 1;
-            const core::result<platform::object> lost =
+            const core::result<objectstore::object> lost =
                 co_await client.put(key, "one", {}, within(std::chrono::milliseconds(100)));
-            CHECK(platform::effect_unknown(lost.error()));
-            const core::result<platform::object> read =
+            CHECK(objectstore::effect_unknown(lost.error()));
+            const core::result<objectstore::object> read =
                 co_await client.get(key, within(std::chrono::seconds(5)));
             CHECK(read.value().body == "one");
         });
@@ -110,8 +109,8 @@
 TEST(platform_codec, arbitrary_text_is_refused_or_decoded)
 {
     CHECK_PROPERTY("arbitrary text", [](const std::string& text) {
-        RC_ASSERT(platform::object_from_json(text).has_error());
-        RC_ASSERT(platform::listing_from_json(text).has_error());
-        RC_ASSERT(platform::event_from_json(text).has_error());
+        RC_ASSERT(objectstore::object_from_json(text).has_error());
+        RC_ASSERT(objectstore::listing_from_json(text).has_error());
+        RC_ASSERT(objectstore::event_from_json(text).has_error());
     });
 }
--- /dev/null
+++ b/src/proxy/eventstream.cpp
@@ -0,0 +1,86 @@
+#include "proxy/eventstream.h"
+
+#include "proxy/proxyconstants.h"
+
+#include <charconv>
+
+namespace currantpitch::proxy {
+
+using core::errc;
+using core::error;
+
+namespace {
+
+constexpr std::string_view event_end = "\n\n";
+
+} // namespace
+
+std::optional<std::uint64_t> event_id(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with("id:")) {
+            continue;
+        }
+        line.remove_prefix(3);
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::uint64_t id = 0;
+        const std::from_chars_result parsed =
+            std::from_chars(line.data(), line.data() + line.size(), id);
+        if (parsed.ec != std::errc() || parsed.ptr == line.data()) {
+            return std::nullopt;
+        }
+        return id;
+    }
+    return std::nullopt;
+}
+
+core::result<bool> event_sequence::is_new(std::string_view event)
+{
+    const std::optional<std::uint64_t> id = event_id(event);
+    if (!id) {
+        return error{errc::malformed, "event without an id"};
+    }
+    if (last_ && *id <= *last_) {
+        return false;
+    }
+    if (last_ && *id != *last_ + 1) {
+        return error{errc::malformed,
+                     "event " + std::to_string(*id) + " after " + std::to_string(*last_)};
+    }
+    last_ = *id;
+    return true;
+}
+
+core::result<std::string> event_sequence::take(std::string_view bytes)
+{
+    buffer_.append(bytes);
+    std::string out;
+    std::size_t begin = 0;
+    while (true) {
+        const std::size_t end = buffer_.find(event_end, begin);
+        if (end == std::string::npos) {
+            break;
+        }
+        const std::size_t next = end + event_end.size();
+        const std::string_view event = std::string_view(buffer_).substr(begin, next - begin);
+        const core::result<bool> fresh = is_new(event);
+        if (!fresh) {
+            return fresh.error();
+        }
+        if (fresh.value()) {
+            out.append(event);
+            ++count_;
+        }
+        begin = next;
+    }
+    buffer_.erase(0, begin);
+    if (buffer_.size() > max_event_bytes) {
+        return error{errc::too_large, "event without an end"};
+    }
+    return out;
+}
+
+} // namespace currantpitch::proxy
--- /dev/null
+++ b/src/proxy/proxycontext.cpp
@@ -0,0 +1,55 @@
+#include "proxy/proxycontext.h"
+
+namespace currantpitch::proxy {
+
+service_state& proxy_context::service(const core::service_id& name)
+{
+    std::unique_ptr<service_state>& state = services[name];
+    if (!state) {
+        const std::shared_ptr<const routes::route_table>& table = configuration.table();
+        const routes::service_profile* const profile = table ? table->find_service(name) : nullptr;
+        const bool engine = profile != nullptr && profile->engine.has_value();
+        const unsigned concurrency = engine ? profile->engine->concurrency : 0;
+        // Engines of a group advance together, so that none of them is slower than the others.
+        dispatch::scheduler decisions(own_domain, !engine, random());
+        state = std::make_unique<service_state>(executor, std::move(decisions),
+                                                admission::retry_window(bounds.retries, started),
+                                                concurrency);
+        state->retries.set_sharers(sharers);
+    }
+    return *state;
+}
+
+void proxy_context::apply_endpoints()
+{
+    std::map<core::service_id, std::vector<dispatch::available_endpoint>> by_service;
+    for (const std::pair<const core::service_id, std::unique_ptr<service_state>>& entry :
+         services) {
+        by_service[entry.first];
+    }
+    for (const std::pair<const core::endpoint_id, directory::endpoint_record>& entry :
+         endpoints.all()) {
+        const directory::endpoint_record& record = entry.second;
+        if (!record.draining) {
+            by_service[record.service].push_back(
+                {record.endpoint, record.failure_domain, record.concurrency});
+        }
+    }
+    for (const std::pair<const core::service_id, std::vector<dispatch::available_endpoint>>& e :
+         by_service) {
+        service_state& state = service(e.first);
+        state.queue.decisions().set_endpoints(e.second);
+        state.queue.settle();
+    }
+}
+
+void proxy_context::set_sharers(std::size_t processes)
+{
+    sharers = processes;
+    for (const std::pair<const core::service_id, std::unique_ptr<service_state>>& entry :
+         services) {
+        entry.second->retries.set_sharers(processes);
+    }
+}
+
+} // namespace currantpitch::proxy
--- /dev/null
+++ b/src/routes/routetable.cpp
@@ -0,0 +1,95 @@
+#include "routes/routetable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace currantpitch::routes {
+
+namespace {
+
+std::string lower(std::string_view text)
+{
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+} // namespace
+
+std::string_view to_string(repeatability r)
+{
+    switch (r) {
+    case repeatability::idempotent:
+        return "idempotent";
+    case repeatability::at_most_once:
+        return "at_most_once";
+    case repeatability::resumable_stream:
+        return "resumable_stream";
+    case repeatability::one_shot_stream:
+        break;
+    }
+    return "one_shot_stream";
+}
+
+route_table::route_table(configuration accepted) : accepted_(std::move(accepted))
+{
+    for (const route& r : accepted_.routes) {
+        by_host_[lower(r.host)].emplace(r.path_prefix, &r);
+    }
+    for (const workspace& w : accepted_.workspaces) {
+        for (const std::string& key : w.keys) {
+            by_key_.emplace(key, &w);
+        }
+    }
+    for (const service_profile& s : accepted_.services) {
+        by_service_.emplace(s.service, &s);
+    }
+}
+
+const route* route_table::match(std::string_view host, std::string_view path) const
+{
+    const auto routes = by_host_.find(lower(host.substr(0, host.find(':'))));
+    if (routes == by_host_.end()) {
+        return nullptr;
+    }
+    // Prefixes end with a slash, so only the path's own beginnings up to a slash can match.
+    for (std::size_t end = path.rfind('/'); end != std::string_view::npos;
+         end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+        const auto found = routes->second.find(path.substr(0, end + 1));
+        if (found != routes->second.end()) {
+            return found->second;
+        }
+    }
+    return nullptr;
+}
+
+const workspace* route_table::holder_of(const std::string& key) const
+{
+    const auto found = by_key_.find(key);
+    return found == by_key_.end() ? nullptr : found->second;
+}
+
+const service_profile* route_table::find_service(const core::service_id& service) const
+{
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? nullptr : found->second;
+}
+
+const core::service_id* choose_service(const route& r, double draw)
+{
+    double total = 0;
+    for (const weighted_service& s : r.services) {
+        total += s.weight;
+    }
+    double rest = draw * total;
+    for (const weighted_service& s : r.services) {
+        rest -= s.weight;
+        if (rest < 0) {
+            return &s.service;
+        }
+    }
+    return r.services.empty() ? nullptr : &r.services.back().service;
+}
+
+} // namespace currantpitch::routes
--- /dev/null
+++ b/src/routes/tests/tst_routes.cpp
@@ -0,0 +1,106 @@
+#include "routes/configurationview.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+routes::route route_for(std::string prefix)
+{
+    routes::route r;
+    r.host = "desk.example";
+    r.path_prefix = std::move(prefix);
+    r.services = {{core::service_id("one"), 90}, {core::service_id("two"), 10}};
+    return r;
+}
+
+routes::configuration version(std::uint64_t number)
+{
+    routes::configuration c;
+    c.version = routes::configuration_version{number};
+    return c;
+}
+
+} // namespace
+
+TEST_GROUP(route_tables)
+{
+    routes::configuration accepted;
+
+    void setup() override
+    {
+        accepted.routes = {route_for("/"), route_for("/a/"), route_for("/a/b/")};
+        routes::workspace w;
+        w.name = core::workspace_id("mali-koderi");
+        w.keys = {"k1", "k2"};
+        accepted.workspaces = {w};
+    }
+};
+
+TEST(route_tables, longest_prefix_wins)
+{
+    const routes::route_table table(accepted);
+    STRCMP_EQUAL("/a/b/", table.match("desk.example", "/a/b/c")->path_prefix.c_str());
+    STRCMP_EQUAL("/a/", table.match("desk.example", "/a/bc")->path_prefix.c_str());
+    STRCMP_EQUAL("/", table.match("DESK.example:80", "/b")->path_prefix.c_str());
+}
+
+TEST(route_tables, unknown_hosts_and_prefixes_match_nothing)
+{
+    accepted.routes = {route_for("/a/")};
+    const routes::route_table table(accepted);
+    CHECK(table.match("other.example", "/a/b") == nullptr);
+    CHECK(table.match("desk.example", "/a") == nullptr);
+    CHECK(table.match("desk.example", "") == nullptr);
+}
+
+TEST(route_tables, keys_name_their_workspace)
+{
+    const routes::route_table table(accepted);
+    STRCMP_EQUAL("mali-koderi", table.holder_of("k2")->name.str().c_str());
+    CHECK(table.holder_of("k3") == nullptr);
+}
+
+TEST(route_tables, services_are_chosen_by_weight)
+{
+    const routes::route r = route_for("/");
+    STRCMP_EQUAL("one", routes::choose_service(r, 0.0)->str().c_str());
+    STRCMP_EQUAL("one", routes::choose_service(r, 0.89)->str().c_str());
+    STRCMP_EQUAL("two", routes::choose_service(r, 0.91)->str().c_str());
+    CHECK(routes::choose_service(routes::route{}, 0.5) == nullptr);
+}
+
+TEST_GROUP(configuration_views){void setup() override{core::runtime_clock::pause();
+}
+void teardown() override
+{
+    core::runtime_clock::resume();
+}
+}
+;
+
+TEST(configuration_views, versions_never_go_back)
+{
+    routes::configuration_view view;
+    CHECK(view.take(version(7), core::boot_clock::now()));
+    CHECK(!view.take(version(5), core::boot_clock::now()));
+    CHECK(!view.take(version(7), core::boot_clock::now()));
+    LONGS_EQUAL(7, view.table()->version().value);
+}
+
+TEST(configuration_views, age_counts_suspensions)
+{
+    routes::configuration_view view;
+    view.take(version(1), core::boot_clock::now());
+    core::runtime_clock::advance_to(core::runtime_clock::now() + 1s);
+    CHECK(view.age() == 1s);
+    core::boot_clock::suspend_for(4s);
+    CHECK(view.age() == 5s);
+    view.prove_current(core::boot_clock::now() - 2s);
+    CHECK(view.age() == 2s);
+    // A late answer to an earlier call proves nothing new.
+    view.prove_current(core::boot_clock::now() - 3s);
+    CHECK(view.age() == 2s);
+}
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -3,8 +3,6 @@
 #include "settings/internal/yamlreader.h"
 
 #include <charconv>
-#include <fstream>
-#include <sstream>
 
 namespace currantpitch::settings {
 
@@ -45,17 +43,11 @@
 settings_report read_settings(const std::string& text, const std::string& file_name)
 {
     settings_report report;
-    YAML::Node document;
-    try {
-        document = YAML::Load(text);
-    }
-    catch (const YAML::ParserException& e) {
-        report.problems.push_back({file_name + ":" + std::to_string(e.mark.line + 1) + ":" +
-                                       std::to_string(e.mark.column + 1),
-                                   e.msg});
+    const std::optional<YAML::Node> document = parse_yaml(text, file_name, report.problems);
+    if (!document) {
         return report;
     }
-    yaml_reader root(document, "", file_name, report.problems);
+    yaml_reader root(*document, "", file_name, report.problems);
     daemon_settings s;
     const bool is_entry = root.required_choice("role", {"entry", "agent"}) == 0;
     s.host = core::host_id(root.required_text("host"));
@@ -78,13 +70,9 @@
 
 settings_report load_settings(const std::string& path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return {{{path, "cannot be read"}}, std::nullopt};
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return read_settings(text.str(), path);
+    settings_report report;
+    const std::optional<std::string> text = read_text_file(path, report.problems);
+    return text ? read_settings(*text, path) : report;
 }
 
 std::optional<std::chrono::milliseconds> parse_duration(const std::string& text)
--- a/src/settings/internal/yamlreader.cpp
+++ b/src/settings/internal/yamlreader.cpp
@@ -3,6 +3,8 @@
 #include "wire/framedconnection.h"
 
 #include <charconv>
+#include <fstream>
+#include <sstream>
 
 namespace currantpitch::settings {
 
@@ -132,6 +134,26 @@
     return number;
 }
 
+double yaml_reader::optional_real(const std::string& field, double fallback, double smallest,
+                                  double largest)
+{
+    const std::optional<std::string> text = scalar(field, false);
+    if (!text) {
+        return fallback;
+    }
+    double number = 0;
+    const char* const last = text->data() + text->size();
+    const std::from_chars_result parsed = std::from_chars(text->data(), last, number);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == last;
+    if (!whole || !(number >= smallest && number <= largest)) {
+        std::ostringstream bounds;
+        bounds << "must be a number from " << smallest << " to " << largest;
+        report(child(field), field, bounds.str());
+        return fallback;
+    }
+    return number;
+}
+
 std::size_t yaml_reader::required_choice(const std::string& field,
                                          const std::vector<std::string>& choices)
 {
@@ -174,4 +196,30 @@
     }
 }
 
+std::optional<YAML::Node> parse_yaml(const std::string& text, const std::string& file,
+                                     core::findings& problems)
+{
+    try {
+        return YAML::Load(text);
+    }
+    catch (const YAML::ParserException& e) {
+        problems.push_back(
+            {file + ":" + std::to_string(e.mark.line + 1) + ":" + std::to_string(e.mark.column + 1),
+             e.msg});
+        return std::nullopt;
+    }
+}
+
+std::optional<std::string> read_text_file(const std::string& path, core::findings& problems)
+{
+    std::ifstream file(path);
+    if (!file) {
+        problems.push_back({path, "cannot be read"});
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 } // namespace currantpitch::settings
--- a/src/settings/internal/yamlreader.h
+++ b/src/settings/internal/yamlreader.h
@@ -24,6 +24,8 @@
                                                 std::chrono::milliseconds longest);
     unsigned optional_number(const std::string& field, unsigned fallback, unsigned smallest,
                              unsigned largest);
+    double optional_real(const std::string& field, double fallback, double smallest,
+                         double largest);
     /// A text that must be one of the choices; returns its index, or 0 with a finding.
     std::size_t required_choice(const std::string& field, const std::vector<std::string>& choices);
     /// The mapping below a field; an empty one with a finding when it is absent.
@@ -44,4 +46,10 @@
     std::set<std::string> asked_;
 };
 
+/// The document in the text; nothing, with a finding, when it cannot be parsed.
+std::optional<YAML::Node> parse_yaml(const std::string& text, const std::string& file,
+                                     core::findings& problems);
+/// The text of a file; nothing, with a finding, when it cannot be read.
+std::optional<std::string> read_text_file(const std::string& path, core::findings& problems);
+
 } // namespace currantpitch::settings
--- a/src/settings/settingsconstants.h
+++ b/src/settings/settingsconstants.h
@@ -16,4 +16,9 @@
 inline constexpr unsigned default_ledger_shards = 16;
 inline constexpr unsigned most_ledger_shards = 4096;
 
+/// Least time for a key to stop working everywhere: some round trips to the store.
+inline constexpr std::chrono::milliseconds shortest_revocation_time{1000};
+/// Least window over which repeats are counted.
+inline constexpr std::chrono::milliseconds shortest_retry_window{1000};
+
 } // namespace currantpitch::settings
--- a/tests/fakes/fakesmain.cpp
+++ b/tests/fakes/fakesmain.cpp
@@ -1,7 +1,7 @@
 #include "core/eventlog.h"
 #include "fakes/enginegroup.h"
 #include "fakes/plainservice.h"
-#include "fakes/platformserver.h"
+#include "fakes/storeserver.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
@@ -55,9 +55,8 @@
     google::InitGoogleLogging(argv[0]);
 
     asio::io_context context{1};
-    fakes::memory_platform store(context.get_executor());
-    fake_listener<fakes::platform_server> platform(context, base_port,
-                                                   fakes::platform_server(store));
+    fakes::memory_store store(context.get_executor());
+    fake_listener<fakes::store_server> platform(context, base_port, fakes::store_server(store));
     fakes::engine_group group(context.get_executor(), options);
     std::vector<std::unique_ptr<fake_listener<rank_handler>>> ranks;
     for (std::size_t i = 0; i < options.ranks; ++i) {
--- a/tests/fakes/memoryplatform.cpp
+++ b/tests/fakes/memorystore.cpp
@@ -1,24 +1,24 @@
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 
-#include "platform/platformconstants.h"
+#include "objectstore/objectstoreconstants.h"
 
 namespace currantpitch::fakes {
 
 using core::errc;
 using core::error;
-using platform::call_context;
-using platform::object;
-using platform::object_key;
+using objectstore::call_context;
+using objectstore::object;
+using objectstore::object_key;
 
-memory_watch::memory_watch(memory_platform& store, std::vector<std::string> kinds,
-                           core::revision from)
+memory_watch::memory_watch(memory_store& store, std::vector<std::string> kinds, core::revision from)
     : store_(&store), kinds_(kinds.begin(), kinds.end()), seen_(from)
 {
 }
 
-core::task<core::result<platform::watch_event>> memory_watch::next(core::time_point deadline)
+core::task<core::result<objectstore::watch_event>> memory_watch::next(core::time_point deadline)
 {
-    const core::time_point bookmark_due = core::runtime_clock::now() + platform::bookmark_interval;
+    const core::time_point bookmark_due =
+        core::runtime_clock::now() + objectstore::bookmark_interval;
     while (core::runtime_clock::now() < deadline) {
         const bool silent = store_->faults.watches_silent;
         if (store_->faults.away) {
@@ -28,19 +28,19 @@
         for (auto it = history.begin(); !silent && it != history.end(); ++it) {
             if (it->version > seen_ && kinds_.contains(it->key.kind)) {
                 seen_ = it->version;
-                co_return platform::watch_event{*it, seen_};
+                co_return objectstore::watch_event{*it, seen_};
             }
         }
         if (!silent && core::runtime_clock::now() >= bookmark_due) {
             seen_ = store_->last();
-            co_return platform::watch_event{std::nullopt, seen_};
+            co_return objectstore::watch_event{std::nullopt, seen_};
         }
         co_await store_->news_.wait_until(silent ? deadline : std::min(deadline, bookmark_due));
     }
     co_return error{errc::timeout, "the watch is silent"};
 }
 
-core::task<core::result<void>> memory_platform::begin(call_context call)
+core::task<core::result<void>> memory_store::begin(call_context call)
 {
     ++calls[std::string(call.cause)];
     if (faults.delay > core::duration::zero()) {
@@ -55,8 +55,8 @@
     co_return core::ok();
 }
 
-core::result<object> memory_platform::change(object_key key, std::string body,
-                                             core::revision expected, bool deleted)
+core::result<object> memory_store::change(object_key key, std::string body, core::revision expected,
+                                          bool deleted)
 {
     const std::map<object_key, object>::iterator found = objects_.find(key);
     const bool present = found != objects_.end() && !found->second.deleted;
@@ -75,7 +75,7 @@
     return changed;
 }
 
-core::task<core::result<object>> memory_platform::answer_write(object written, call_context call)
+core::task<core::result<object>> memory_store::answer_write(object written, call_context call)
 {
     if (faults.lose_answers == 0) {
         co_return written;
@@ -86,7 +86,7 @@
     co_return error{errc::timeout, "the answer was lost"};
 }
 
-core::task<core::result<object>> memory_platform::get(object_key key, call_context call)
+core::task<core::result<object>> memory_store::get(object_key key, call_context call)
 {
     const core::result<void> begun = co_await begin(call);
     if (!begun) {
@@ -99,7 +99,7 @@
     co_return found->second;
 }
 
-core::task<core::result<platform::listing>> memory_platform::list(std::vector<std::string> kinds,
+core::task<core::result<objectstore::listing>> memory_store::list(std::vector<std::string> kinds,
                                                                   call_context call)
 {
     const core::result<void> begun = co_await begin(call);
@@ -107,7 +107,7 @@
         co_return begun.error();
     }
     const std::set<std::string> wanted(kinds.begin(), kinds.end());
-    platform::listing found{last_, {}};
+    objectstore::listing found{last_, {}};
     for (const std::pair<const object_key, object>& entry : objects_) {
         if (!entry.second.deleted && wanted.contains(entry.first.kind)) {
             found.objects.push_back(entry.second);
@@ -116,8 +116,8 @@
     co_return found;
 }
 
-core::task<core::result<object>> memory_platform::put(object_key key, std::string body,
-                                                      core::revision expected, call_context call)
+core::task<core::result<object>> memory_store::put(object_key key, std::string body,
+                                                   core::revision expected, call_context call)
 {
     const core::result<void> begun = co_await begin(call);
     if (!begun) {
@@ -130,8 +130,8 @@
     co_return co_await answer_write(std::move(changed.value()), call);
 }
 
-core::task<core::result<object>> memory_platform::remove(object_key key, core::revision expected,
-                                                         call_context call)
+core::task<core::result<object>> memory_store::remove(object_key key, core::revision expected,
+                                                      call_context call)
 {
     const core::result<void> begun = co_await begin(call);
     if (!begun) {
@@ -144,8 +144,8 @@
     co_return co_await answer_write(std::move(changed.value()), call);
 }
 
-core::task<core::result<memory_watch>>
-memory_platform::watch(std::vector<std::string> kinds, core::revision from, call_context call)
+core::task<core::result<memory_watch>> memory_store::watch(std::vector<std::string> kinds,
+                                                           core::revision from, call_context call)
 {
     const core::result<void> begun = co_await begin(call);
     if (!begun) {
--- a/tests/fakes/platformserver.cpp
+++ b/tests/fakes/storeserver.cpp
@@ -1,16 +1,16 @@
-#include "fakes/platformserver.h"
+#include "fakes/storeserver.h"
 
 #include "core/text.h"
-#include "platform/internal/platformcodec.h"
-#include "platform/platformconstants.h"
+#include "objectstore/internal/storecodec.h"
+#include "objectstore/objectstoreconstants.h"
 
 namespace currantpitch::fakes {
 
 namespace {
 
-platform::call_context served()
+objectstore::call_context served()
 {
-    return {"http", core::runtime_clock::now() + platform::call_timeout};
+    return {"http", core::runtime_clock::now() + objectstore::call_timeout};
 }
 
 std::vector<std::string> kinds_of(const http::request& received)
@@ -45,8 +45,8 @@
 
 } // namespace
 
-core::task<void> platform_server::operator()(http::server_connection& connection,
-                                             const http::request& received)
+core::task<void> store_server::operator()(http::server_connection& connection,
+                                          const http::request& received)
 {
     if (received.path() == "/faults") {
         set_faults(received);
@@ -57,11 +57,11 @@
         co_await answer_watch(connection, received);
     }
     else if (received.path() == "/objects") {
-        const core::result<platform::listing> found =
+        const core::result<objectstore::listing> found =
             co_await store_.list(kinds_of(received), served());
         http::response answer = found ? http::response{} : refusal(found.error());
         if (found) {
-            answer.body = platform::to_json(found.value());
+            answer.body = objectstore::to_json(found.value());
         }
         co_await connection.reply(std::move(answer));
     }
@@ -70,17 +70,17 @@
     }
 }
 
-core::task<void> platform_server::answer_object(http::server_connection& connection,
-                                                const http::request& received)
+core::task<void> store_server::answer_object(http::server_connection& connection,
+                                             const http::request& received)
 {
     // Path form: /objects/KIND/NAME
     http::request parts;
     const std::string path(received.path());
     const std::size_t slash = path.find('/', 9);
     parts.target = "/?kind=" + path.substr(9, slash - 9) + "&name=" + path.substr(slash + 1);
-    const platform::object_key key{*parts.query("kind"), *parts.query("name")};
+    const objectstore::object_key key{*parts.query("kind"), *parts.query("name")};
     const core::revision expected = revision_of(received, "version");
-    core::result<platform::object> outcome = core::error{};
+    core::result<objectstore::object> outcome = core::error{};
     if (received.method == "PUT") {
         outcome = co_await store_.put(key, received.body, expected, served());
     }
@@ -96,13 +96,13 @@
     }
     http::response answer = outcome ? http::response{} : refusal(outcome.error());
     if (outcome) {
-        answer.body = platform::to_json(outcome.value());
+        answer.body = objectstore::to_json(outcome.value());
     }
     co_await connection.reply(std::move(answer));
 }
 
-core::task<void> platform_server::answer_watch(http::server_connection& connection,
-                                               const http::request& received)
+core::task<void> store_server::answer_watch(http::server_connection& connection,
+                                            const http::request& received)
 {
     core::result<memory_watch> opened =
         co_await store_.watch(kinds_of(received), revision_of(received, "from"), served());
@@ -112,11 +112,11 @@
         co_return;
     }
     co_await connection.begin_stream("application/json");
-    core::result<platform::watch_event> event =
+    core::result<objectstore::watch_event> event =
         co_await opened.value().next(core::runtime_clock::now() + std::chrono::hours(1));
     while (event) {
         const core::result<void> written =
-            co_await connection.write_chunk(platform::to_json(event.value()) + "\n");
+            co_await connection.write_chunk(objectstore::to_json(event.value()) + "\n");
         if (!written) {
             co_return;
         }
@@ -125,7 +125,7 @@
     connection.close();
 }
 
-void platform_server::set_faults(const http::request& received)
+void store_server::set_faults(const http::request& received)
 {
     store_.faults.away = received.query("away") == "1";
     store_.faults.watches_silent = received.query("silent") == "1";
--- a/tests/fakes/platformserver.h
+++ b/tests/fakes/storeserver.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "fakes/memoryplatform.h"
+#include "fakes/memorystore.h"
 #include "http/serverconnection.h"
 
 namespace currantpitch::fakes {
 
 /// Serves a store in memory over HTTP. POST /faults switches faults by query, for example
 /// /faults?away=1.
-class platform_server {
+class store_server {
 public:
-    explicit platform_server(memory_platform& store) : store_(store) {}
+    explicit store_server(memory_store& store) : store_(store) {}
 
     core::task<void> operator()(http::server_connection& connection, const http::request& received);
 
@@ -20,7 +20,7 @@
                                   const http::request& received);
     void set_faults(const http::request& received);
 
-    memory_platform& store_;
+    memory_store& store_;
 };
 
 } // namespace currantpitch::fakes
--- a/tests/support/localsite.h
+++ b/tests/support/localsite.h
@@ -5,7 +5,7 @@
 #include "entry/entrynode.h"
 #include "fakes/enginegroup.h"
 #include "fakes/plainservice.h"
-#include "fakes/platformserver.h"
+#include "fakes/storeserver.h"
 #include "http/clientconnection.h"
 
 #include <boost/json.hpp>
@@ -83,7 +83,7 @@
                                                           boost::json::object spec);
 
     core::asio::io_context context{1};
-    fakes::memory_platform store{context.get_executor()};
+    fakes::memory_store store{context.get_executor()};
     fakes::engine_group group;
     fakes::plain_service service;
     std::vector<std::unique_ptr<engine_agent>> engine_agents;
@@ -150,7 +150,7 @@
         core::spawn_then(executor(), entries.back()->run(), check_end);
     }
 
-    fakes::platform_server platform_server_;
+    fakes::store_server platform_server_;
     settings::address platform_address_;
     std::vector<std::unique_ptr<rank_handler>> rank_handlers_;
     std::vector<std::unique_ptr<core::asio::ip::tcp::acceptor>> listeners_;
