--- a/src/core/notifier.h
+++ b/src/core/notifier.h
@@ -3,13 +3,17 @@
 #include "core/timer.h"
 
 #include <list>
+#include <memory>
 
 namespace currantpitch::core {
 
 /// Lets tasks wait for a change of state that another task of the same thread announces.
 class notifier {
 public:
-    explicit notifier(const asio::any_io_executor& executor) : executor_(executor) {}
+    explicit notifier(const asio::any_io_executor& executor)
+        : executor_(executor), waiting_(std::make_shared<std::list<timer>>())
+    {
+    }
     notifier(const notifier&) = delete;
     notifier& operator=(const notifier&) = delete;
 
@@ -24,7 +28,7 @@
     /// Wakes every waiting task.
     void notify()
     {
-        for (timer& t : waiting_) {
+        for (timer& t : *waiting_) {
             t.cancel();
         }
     }
@@ -34,19 +38,20 @@
     struct waiter {
         explicit waiter(notifier& n) : list(n.waiting_)
         {
-            list.emplace_back(n.executor_);
-            place = std::prev(list.end());
+            list->emplace_back(n.executor_);
+            place = std::prev(list->end());
         }
         waiter(const waiter&) = delete;
         waiter& operator=(const waiter&) = delete;
-        ~waiter() { list.erase(place); }
+        ~waiter() { list->erase(place); }
 
-        std::list<timer>& list;
+        /// Shared, since a task may be taken down after the notifier.
+        std::shared_ptr<std::list<timer>> list;
         std::list<timer>::iterator place;
     };
 
     asio::any_io_executor executor_;
-    std::list<timer> waiting_;
+    std::shared_ptr<std::list<timer>> waiting_;
 };
 
 } // namespace currantpitch::core
