Plan copies under one budget, small steps first; hold the leader's link free

Cause: after a shift of demand the group ran 0.7 s at three times the mean load, which made every stream in flight late. A plan took four copies on a rank where one halves the skew. In a group of 63 the members' counts (5 KB each 200 ms) filled the leader's link of 1 MB/s: answers to orders came seconds late, switches were withdrawn, and a successor without the running layout sent an empty one.

Change: copies of all layers share a budget for each rank, and a plan counts that the rest follows in a second switch. Counts travel as a byte an expert, at a bounded rate. A leader settles only when it knows the layout that runs. Watches on endpoints wait for 8 s (20 s in agents) with probes on the connection, and changes in a crowd are gathered.

--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -1,13 +1,19 @@
 #pragma once
 
+#include "objectstore/kindfeed.h"
+
 #include <chrono>
 #include <cstddef>
 
 namespace currantpitch::gateway {
 
-/// Time for which a watch waits at the store. What it shows is proven only when its call returns,
-/// so that this bounds the age of the configuration.
-inline constexpr std::chrono::milliseconds watch_wait{1200};
+/// The watch of the configuration waits at the store for that long. What it shows is proven only
+/// when its call returns, so that this bounds the age of the keys.
+inline constexpr objectstore::feed_pace configuration_pace{std::chrono::milliseconds(1400),
+                                                           std::chrono::milliseconds(0)};
+/// Endpoints and hosts need no proof; their changes come in crowds at starts.
+inline constexpr objectstore::feed_pace membership_pace{std::chrono::milliseconds(8000),
+                                                        std::chrono::milliseconds(150)};
 /// Lifetime of an address answer. Short, so that callers have left an entry that stops within
 /// three lifetimes, which is how long some of them keep an answer.
 inline constexpr std::chrono::seconds address_lifetime{1};
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -3,6 +3,7 @@
 #include "http/httpconstants.h"
 #include "wire/framedconnection.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/beast/core.hpp>
@@ -210,6 +211,17 @@
     co_return core::ok();
 }
 
+void client_connection::probe_when_idle(std::chrono::seconds interval, int probes)
+{
+    const int seconds = static_cast<int>(interval.count());
+    boost::system::error_code ignored;
+    impl_->socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int socket = impl_->socket_.native_handle();
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 bool client_connection::is_open() const
 {
     return impl_->socket_.is_open();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -19,6 +19,9 @@
 
     core::task<core::result<void>> connect(core::asio::ip::tcp::endpoint address,
                                            core::time_point deadline);
+    /// Has an idle connection probed at that interval, and closed after so many probes without an
+    /// answer.
+    void probe_when_idle(std::chrono::seconds interval, int probes);
     bool is_open() const;
     void close();
 
--- a/src/objectstore/kindfeed.h
+++ b/src/objectstore/kindfeed.h
@@ -24,15 +24,21 @@
     s.take_store_back();
 };
 
+/// How a feed calls the store.
+struct feed_pace {
+    /// Time for which a watch's call waits at the store when nothing changes.
+    std::chrono::milliseconds watch_wait{1000};
+    /// Pause after changes, so that many at once cost few calls.
+    std::chrono::milliseconds gather{0};
+};
+
 /// Follows one kind of objects in the store: a listing, then a watch for as long as it holds. Each
 /// failure is retried after a jittered pause; a watch whose history is gone begins with a listing.
 template <store_client Store, feed_sink Sink>
 class kind_feed {
 public:
-    /// A watch's calls wait at the store for that long when nothing changes.
-    kind_feed(Store& store, std::string kind, Sink& sink, std::chrono::milliseconds watch_wait,
-              std::uint64_t seed)
-        : store_(store), kind_(std::move(kind)), sink_(sink), watch_wait_(watch_wait), random_(seed)
+    kind_feed(Store& store, std::string kind, Sink& sink, feed_pace pace, std::uint64_t seed)
+        : store_(store), kind_(std::move(kind)), sink_(sink), pace_(pace), random_(seed)
     {
     }
 
@@ -48,7 +54,7 @@
     Store& store_;
     std::string kind_;
     Sink& sink_;
-    std::chrono::milliseconds watch_wait_;
+    feed_pace pace_;
     std::mt19937_64 random_;
     bool failing_ = false;
     core::time_point failing_since_;
@@ -91,15 +97,16 @@
 {
     const std::vector<std::string> kinds{kind_};
     while (true) {
-        const call_context call{kind_, core::runtime_clock::now() + call_timeout};
+        const call_context call{kind_, core::runtime_clock::now() + call_timeout, pace_.watch_wait};
         core::result<typename Store::watch_type> opened = co_await store_.watch(kinds, from, call);
         core::error failure{core::errc::closed, ""};
         if (!opened) {
             failure = opened.error();
         }
+        bool changed = false;
         while (opened) {
             const core::time_point deadline =
-                core::runtime_clock::now() + watch_wait_ + call_timeout;
+                core::runtime_clock::now() + pace_.watch_wait + call_timeout;
             const core::result<watch_event> event = co_await opened.value().next(deadline);
             if (!event) {
                 failure = event.error();
@@ -108,10 +115,15 @@
             on_answer();
             from = event.value().at;
             if (event.value().changed) {
+                changed = true;
                 sink_.take_change(*event.value().changed);
             }
             else {
                 sink_.take_proof(event.value().current_as_of);
+                if (changed && pace_.gather.count() > 0) {
+                    co_await core::sleep_for(pace_.gather);
+                }
+                changed = false;
             }
         }
         if (failure.code == core::errc::stale) {
--- a/src/objectstore/storeclient.h
+++ b/src/objectstore/storeclient.h
@@ -54,6 +54,8 @@
 struct call_context {
     std::string_view cause;
     core::time_point deadline;
+    /// Watches only: time after which the store answers although nothing changed.
+    std::chrono::milliseconds watch_wait{1000};
 };
 
 /// An open watch. Errors: errc::timeout for silence, errc::closed, errc::stale when the store no
--- a/src/rankcontrol/demandtracker.cpp
+++ b/src/rankcontrol/demandtracker.cpp
@@ -35,11 +35,11 @@
 {
 }
 
-bool demand_tracker::add(const std::vector<std::vector<std::uint32_t>>& chosen)
+bool demand_tracker::add(const expert_counts& chosen)
 {
     const bool fits =
         chosen.size() == shape_.layers &&
-        std::all_of(chosen.begin(), chosen.end(), [this](const std::vector<std::uint32_t>& layer) {
+        std::all_of(chosen.begin(), chosen.end(), [this](const std::vector<double>& layer) {
             return layer.size() == shape_.experts;
         });
     if (!fits) {
--- a/src/rankcontrol/demandtracker.h
+++ b/src/rankcontrol/demandtracker.h
@@ -22,7 +22,7 @@
     explicit demand_tracker(const layout_shape& shape);
 
     /// Adds what one rank's requests chose. Counts of another size are ignored: false.
-    bool add(const std::vector<std::vector<std::uint32_t>>& chosen);
+    bool add(const expert_counts& chosen);
     /// Takes the counts since the last call into account. Called at a steady interval.
     void advance(core::duration interval);
 
--- a/src/rankcontrol/evenplanner.cpp
+++ b/src/rankcontrol/evenplanner.cpp
@@ -18,11 +18,11 @@
 /// One layer under change: who holds what, and the ranks' loads.
 class layer_search {
 public:
+    /// The budget is what each rank may still copy, over all layers.
     layer_search(const layer_layout& present, const std::vector<double>& shares,
-                 const layout_shape& shape, std::size_t new_per_rank)
-        : present_(present), layer_(present), shares_(shares), shape_(shape),
-          new_per_rank_(new_per_rank), holders_(shape.experts), loads_(present.size()),
-          news_(present.size())
+                 const layout_shape& shape, std::vector<std::size_t>& budget)
+        : present_(present), layer_(present), shares_(shares), shape_(shape), budget_(budget),
+          holders_(shape.experts), loads_(present.size()), news_(present.size())
     {
         for (std::size_t r = 0; r < layer_.size(); ++r) {
             for (const expert e : layer_[r]) {
@@ -36,15 +36,29 @@
         }
     }
 
-    layer_layout run()
+    /// Makes the best move at the busiest rank; false when none helps.
+    bool improve()
     {
-        // Each step lowers the busiest rank; the bound only guards against endless trading.
-        const std::size_t most_steps = 4 * layer_.size() * std::max<std::size_t>(new_per_rank_, 1);
-        for (std::size_t step = 0; step < most_steps && improve_busiest(); ++step) {
+        const std::size_t busiest = static_cast<std::size_t>(
+            std::max_element(loads_.begin(), loads_.end()) - loads_.begin());
+        std::optional<move> best;
+        for (const std::size_t target : least_loaded()) {
+            for (const expert e : layer_[busiest]) {
+                if (target != busiest && !holds(target, e)) {
+                    consider_target(busiest, e, target, best);
+                }
+            }
         }
-        return layer_;
+        if (!best || best->worst > loads_[busiest] * (1 - least_gain)) {
+            return false;
+        }
+        apply(busiest, *best);
+        return true;
     }
 
+    double busiest_load() const { return *std::max_element(loads_.begin(), loads_.end()); }
+    layer_layout take() { return std::move(layer_); }
+
 private:
     /// A change at the busiest rank: one of its experts gets a copy on the target in the place of
     /// the victim, which goes back to the busiest rank if it has no other copy (a trade).
@@ -71,7 +85,8 @@
     bool may_take(std::size_t rank, expert e, std::optional<expert> leaving) const
     {
         const std::size_t freed = leaving && is_new(rank, *leaving) ? 1 : 0;
-        return !is_new(rank, e) || news_[rank] - freed < new_per_rank_;
+        return !is_new(rank, e) ||
+               (news_[rank] - freed < shape_.new_per_rank && budget_[rank] + freed > 0);
     }
 
     /// Largest load of the two ranks and of those that the victim's other holders get.
@@ -127,29 +142,16 @@
         }
     }
 
-    bool improve_busiest()
+    std::vector<std::size_t> least_loaded() const
     {
-        const std::size_t busiest = static_cast<std::size_t>(
-            std::max_element(loads_.begin(), loads_.end()) - loads_.begin());
         std::vector<std::size_t> targets(layer_.size());
         std::iota(targets.begin(), targets.end(), std::size_t{0});
         const std::size_t looked_at = std::min(most_targets, targets.size());
         std::partial_sort(targets.begin(), targets.begin() + static_cast<long>(looked_at),
                           targets.end(),
                           [this](std::size_t a, std::size_t b) { return loads_[a] < loads_[b]; });
-        std::optional<move> best;
-        for (const expert e : layer_[busiest]) {
-            for (std::size_t i = 0; i < looked_at; ++i) {
-                if (targets[i] != busiest && !holds(targets[i], e)) {
-                    consider_target(busiest, e, targets[i], best);
-                }
-            }
-        }
-        if (!best || best->worst > loads_[busiest] * (1 - least_gain)) {
-            return false;
-        }
-        apply(busiest, *best);
-        return true;
+        targets.resize(looked_at);
+        return targets;
     }
 
     void remove(std::size_t rank, expert e)
@@ -162,7 +164,10 @@
         for (const std::size_t holder : holders_[e]) {
             loads_[holder] += part(e);
         }
-        news_[rank] -= is_new(rank, e) ? 1 : 0;
+        if (is_new(rank, e)) {
+            --news_[rank];
+            ++budget_[rank];
+        }
     }
 
     void add(std::size_t rank, expert e)
@@ -175,7 +180,10 @@
         for (const std::size_t holder : holders_[e]) {
             loads_[holder] += part(e);
         }
-        news_[rank] += is_new(rank, e) ? 1 : 0;
+        if (is_new(rank, e)) {
+            ++news_[rank];
+            --budget_[rank];
+        }
     }
 
     void apply(std::size_t busiest, const move& m)
@@ -194,7 +202,7 @@
     layer_layout layer_;
     const std::vector<double>& shares_;
     const layout_shape& shape_;
-    std::size_t new_per_rank_;
+    std::vector<std::size_t>& budget_;
     std::vector<std::vector<std::size_t>> holders_;
     std::vector<double> loads_;
     std::vector<std::size_t> news_;
@@ -247,36 +255,79 @@
     return experts.empty() ? 1.0 : total / static_cast<double>(experts.size());
 }
 
-layer_layout improve_layer(const layer_layout& present, const std::vector<double>& shares,
-                           const layout_shape& shape, std::size_t new_per_rank)
+layout improve_layout(const layout& present, const expert_counts& shares, const layout_shape& shape,
+                      std::size_t copies_per_rank)
 {
-    return layer_search(present, shares, shape, new_per_rank).run();
+    std::vector<std::size_t> budget(shape.ranks, copies_per_rank);
+    std::vector<layer_search> layers;
+    layers.reserve(present.size());
+    for (std::size_t layer = 0; layer < present.size(); ++layer) {
+        layers.emplace_back(present[layer], shares[layer], shape, budget);
+    }
+    // The layer with the busiest rank comes first. Each move lowers a busiest rank; the bound only
+    // guards against endless trading.
+    std::vector<bool> finished(layers.size());
+    const std::size_t most_moves = 4 * shape.ranks * std::max<std::size_t>(copies_per_rank, 1);
+    for (std::size_t i = 0; i < most_moves; ++i) {
+        std::optional<std::size_t> worst;
+        for (std::size_t layer = 0; layer < layers.size(); ++layer) {
+            const bool worse =
+                !worst || layers[layer].busiest_load() > layers[*worst].busiest_load();
+            if (!finished[layer] && worse) {
+                worst = layer;
+            }
+        }
+        if (!worst) {
+            break;
+        }
+        finished[*worst] = !layers[*worst].improve();
+    }
+    layout improved;
+    for (layer_search& layer : layers) {
+        improved.push_back(layer.take());
+    }
+    return improved;
 }
 
 std::optional<even_plan> plan_layout(const layout& present, const expert_counts& shares,
                                      const layout_shape& shape, const planner_costs& costs)
 {
+    using seconds = std::chrono::duration<double>;
     const double before = layout_skew(present, shares);
-    const auto pass_time = [&costs](double skew) {
-        return (1 - costs.expert_work_share) + costs.expert_work_share * skew;
+    const auto saved_by = [&costs, before](double skew) {
+        const double share = costs.expert_work_share;
+        return 1 - (1 - share + share * skew) / (1 - share + share * before);
     };
-    std::optional<even_plan> best;
-    for (std::size_t limit = 1; limit <= shape.new_per_rank; ++limit) {
+    const auto copying_of = [&costs](std::size_t copies) {
+        return costs.copy_time * static_cast<double>(copies);
+    };
+    std::vector<even_plan> plans;
+    const std::size_t most_copies = shape.new_per_rank * shape.layers;
+    for (std::size_t copies = 1; copies <= most_copies; copies = copies < 2 ? 2 : copies * 2) {
         even_plan plan;
         plan.skew_before = before;
-        for (std::size_t layer = 0; layer < present.size(); ++layer) {
-            plan.experts.push_back(improve_layer(present[layer], shares[layer], shape, limit));
-        }
+        plan.experts = improve_layout(present, shares, shape, copies);
         plan.skew_after = layout_skew(plan.experts, shares);
         plan.most_copies = most_new_on_a_rank(present, plan.experts);
-        const std::chrono::duration<double> copying =
-            costs.copy_time * static_cast<double>(plan.most_copies);
-        const std::chrono::duration<double> left =
-            std::max(std::chrono::duration<double>{}, costs.horizon - copying - costs.switch_time);
-        const double saved = 1 - pass_time(plan.skew_after) / pass_time(before);
-        plan.net_gain = left * saved - copying * costs.copy_slowdown;
-        if (plan.net_gain > least_net_gain && (!best || plan.net_gain > best->net_gain)) {
-            best = std::move(plan);
+        plans.push_back(std::move(plan));
+    }
+    // After a small switch the rest can follow in a second one.
+    const even_plan& last = plans.back();
+    std::optional<even_plan> best;
+    for (even_plan& plan : plans) {
+        const std::size_t rest =
+            last.most_copies > plan.most_copies ? last.most_copies - plan.most_copies : 0;
+        const seconds until_first = copying_of(plan.most_copies) + costs.switch_time;
+        const seconds until_last =
+            rest > 0 ? until_first + copying_of(rest) + costs.switch_time : until_first;
+        const seconds after = std::max(seconds{}, costs.horizon - until_last);
+        plan.net_gain = (until_last - until_first) * saved_by(plan.skew_after) +
+                        after * std::max(saved_by(last.skew_after), saved_by(plan.skew_after)) -
+                        copying_of(plan.most_copies + rest) * costs.copy_slowdown;
+        const bool changes = plan.most_copies > 0 || plan.skew_after < before;
+        if (changes && plan.net_gain > least_net_gain &&
+            (!best || plan.net_gain > best->net_gain)) {
+            best = plan;
         }
     }
     return best;
--- a/src/rankcontrol/evenplanner.h
+++ b/src/rankcontrol/evenplanner.h
@@ -19,7 +19,7 @@
     /// Time until demand is expected to change again.
     std::chrono::duration<double> horizon{3.0};
     /// Time for orders and for the step to come, without copying.
-    std::chrono::duration<double> switch_time{0.3};
+    std::chrono::duration<double> switch_time{0.15};
 };
 
 /// A layout that is worth switching to.
@@ -40,12 +40,13 @@
 /// Mean of the layers' skews.
 double layout_skew(const layout& experts, const expert_counts& shares);
 
-/// Improves one layer by moves of single copies, with at most so many new experts on each rank.
-layer_layout improve_layer(const layer_layout& present, const std::vector<double>& shares,
-                           const layout_shape& shape, std::size_t new_per_rank);
+/// Improves the layers by moves of single copies, the layer with the busiest rank first, with at
+/// most so many new experts on each rank over all layers.
+layout improve_layout(const layout& present, const expert_counts& shares, const layout_shape& shape,
+                      std::size_t copies_per_rank);
 
-/// The best of the layouts that bring one, two and so on new experts of a layer to each rank;
-/// nothing when none is worth its cost.
+/// The best of the layouts that bring one, two, four and so on new experts to each rank, given that
+/// the rest of the way can follow in a second switch; nothing when none is worth its cost.
 std::optional<even_plan> plan_layout(const layout& present, const expert_counts& shares,
                                      const layout_shape& shape, const planner_costs& costs);
 
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -22,14 +22,18 @@
     if (status.promised != own_) {
         return;
     }
-    if (!status.chosen.empty() && !demand_.add(status.chosen)) {
+    expert_counts chosen;
+    for (const compact_counts& layer : status.chosen) {
+        chosen.push_back(from_compact(layer));
+    }
+    if (!chosen.empty() && !demand_.add(chosen)) {
         core::counter_for("demand_reports_ignored_total").add();
     }
     learn_held(status);
     const switch_phase before = switch_.phase();
     switch_.on_state(status.state, now);
-    log_phase(before);
     learn_layout();
+    log_phase(before);
 }
 
 void group_leader::on_answer(std::uint32_t rank, const rank_answer& answer, core::time_point now)
@@ -59,26 +63,22 @@
 
 void group_leader::learn_layout()
 {
-    const std::optional<group_epoch> epoch = switch_.epoch();
-    if (!epoch) {
-        return;
-    }
-    const core::map_version running = switch_.running();
-    const bool known = present_ && present_epoch_ == *epoch && present_version_ == running;
-    if (known) {
+    const std::optional<std::pair<group_epoch, core::map_version>> observed = switch_.observed();
+    if (!observed || (present_ && present_for_ == observed)) {
         return;
     }
-    if (proposed_ && switch_.phase() == switch_phase::releasing && present_epoch_ == *epoch) {
+    if (proposed_ && observed->first == present_for_.first &&
+        observed->second == switch_.running()) {
         present_ = std::move(proposed_);
         proposed_.reset();
-        present_version_ = running;
+        present_for_ = *observed;
         return;
     }
     layout assembled(shape_.layers, layer_layout(shape_.ranks));
     for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
         const auto list = held_.find(rank);
-        const bool fits = list != held_.end() && list->second.epoch == *epoch &&
-                          list->second.version == running &&
+        const bool fits = list != held_.end() && list->second.epoch == observed->first &&
+                          list->second.version == observed->second &&
                           list->second.experts.size() == shape_.layers;
         if (!fits) {
             return;
@@ -87,10 +87,9 @@
             assembled[layer][rank] = list->second.experts[layer];
         }
     }
-    present_ = std::move(assembled);
-    present_epoch_ = *epoch;
-    present_version_ = running;
-    switch_.set_present(*present_);
+    present_ = assembled;
+    present_for_ = *observed;
+    switch_.set_present(observed->first, observed->second, std::move(assembled));
 }
 
 void group_leader::log_phase(switch_phase before) const
@@ -122,9 +121,8 @@
 
 void group_leader::plan(core::time_point now)
 {
-    const bool able = switch_.can_propose() && present_ && switch_.epoch() == present_epoch_ &&
-                      switch_.running() == present_version_ && !demand_.shares().empty() &&
-                      demand_.last_tokens() >= fewest_tokens;
+    const bool able = switch_.can_propose() && present_ && switch_.observed() == present_for_ &&
+                      !demand_.shares().empty() && demand_.last_tokens() >= fewest_tokens;
     if (!able) {
         return;
     }
--- a/src/rankcontrol/groupleader.h
+++ b/src/rankcontrol/groupleader.h
@@ -11,7 +11,7 @@
 namespace currantpitch::rankcontrol {
 
 /// Interval at which the leader looks at the demand and plans.
-inline constexpr std::chrono::milliseconds planning_interval{250};
+inline constexpr std::chrono::milliseconds planning_interval{125};
 /// Tokens that one layer must have seen in an interval for a plan.
 inline constexpr double fewest_tokens = 20'000;
 
@@ -50,10 +50,9 @@
     layout_switch switch_;
     demand_tracker demand_;
     std::map<std::uint32_t, held_list> held_;
-    /// The layout that runs, with its version and epoch; nothing while it is not known.
+    /// The layout that runs, with its epoch and version; nothing while it is not known.
     std::optional<layout> present_;
-    group_epoch present_epoch_;
-    core::map_version present_version_;
+    std::pair<group_epoch, core::map_version> present_for_;
     std::optional<layout> proposed_;
     core::time_point last_planned_;
     bool deposed_ = false;
--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -180,8 +180,29 @@
     enter(switch_phase::withdrawing, now);
 }
 
+void layout_switch::set_present(group_epoch epoch, core::map_version version, layout present)
+{
+    present_ = std::move(present);
+    present_for_.emplace(epoch, version);
+}
+
+std::optional<std::pair<group_epoch, core::map_version>> layout_switch::observed() const
+{
+    if (!complete() || !same_epoch()) {
+        return std::nullopt;
+    }
+    const rank_state& first = *ranks_.front().state;
+    const bool same = std::all_of(ranks_.begin(), ranks_.end(), [&first](const rank_view& v) {
+        return v.state->active == first.active;
+    });
+    return same ? std::make_optional(std::make_pair(first.epoch, first.active)) : std::nullopt;
+}
+
 void layout_switch::settle(core::time_point now)
 {
+    if (!present_for_ || present_for_ != observed()) {
+        return;
+    }
     epoch_ = ranks_.front().state->epoch;
     running_ = ranks_.front().state->active;
     if (!any_held()) {
@@ -286,6 +307,7 @@
     if (all_armed()) {
         running_ = version_;
         present_ = next_;
+        present_for_.emplace(*epoch_, version_);
         enter(switch_phase::releasing, now);
         return;
     }
--- a/src/rankcontrol/layoutswitch.h
+++ b/src/rankcontrol/layoutswitch.h
@@ -57,8 +57,11 @@
     /// Version that the group runs or is about to; what is known of the layouts of versions is the
     /// caller's.
     core::map_version running() const { return running_; }
-    /// Layout that a withdrawal repeats to the engines; the caller keeps it up to date.
-    void set_present(layout present) { present_ = std::move(present); }
+    /// The layout that runs under that version, which a withdrawal repeats to the engines. Nothing
+    /// is settled before it is known.
+    void set_present(group_epoch epoch, core::map_version version, layout present);
+    /// Epoch and version that all ranks report; nothing while they differ.
+    std::optional<std::pair<group_epoch, core::map_version>> observed() const;
     std::optional<group_epoch> epoch() const { return epoch_; }
     bool complete() const;
 
@@ -102,6 +105,7 @@
     std::string_view failure_;
     core::map_version running_;
     layout present_;
+    std::optional<std::pair<group_epoch, core::map_version>> present_for_;
     layout next_;
     core::map_version version_;
     core::step_number step_;
--- a/src/rankcontrol/rankagentnode.h
+++ b/src/rankcontrol/rankagentnode.h
@@ -69,6 +69,7 @@
     void tick_leader();
     void send(std::vector<addressed_order> orders);
     core::task<void> carry_out_locally(addressed_order order);
+    std::chrono::milliseconds counts_interval() const;
     rank_status status_for_leader(bool with_held);
     rank_status own_status() const;
     bool is_candidate(const settings::address& a) const;
@@ -102,7 +103,8 @@
     /// Counts of the last look, and what came since the last status to the leader.
     expert_counts last_counts_;
     core::incarnation counted_life_;
-    std::vector<std::vector<std::uint32_t>> chosen_;
+    expert_counts chosen_;
+    core::time_point chosen_told_;
     core::time_point loading_until_;
 
     bool fence_known_ = false;
@@ -121,12 +123,10 @@
 rank_agent_node<Site, Port>::rank_agent_node(const core::asio::any_io_executor& executor,
                                              settings::node_settings settings, std::uint64_t seed)
     : executor_(executor), settings_(std::move(settings)), nonce_(seed),
-      store_(executor, settings_.store_address, agent_watch_wait),
-      port_(executor, settings_.engine_address), engine_(executor, port_),
-      members_(settings_.service, settings_.peer_address.port()),
-      profile_feed_(store_, Site::configuration_key().kind, profile_sink_, agent_watch_wait,
-                    seed + 1),
-      member_feed_(store_, Site::endpoint_kind(), member_sink_, agent_watch_wait, seed + 2),
+      store_(executor, settings_.store_address), port_(executor, settings_.engine_address),
+      engine_(executor, port_), members_(settings_.service, settings_.peer_address.port()),
+      profile_feed_(store_, Site::configuration_key().kind, profile_sink_, agent_pace, seed + 1),
+      member_feed_(store_, Site::endpoint_kind(), member_sink_, agent_pace, seed + 2),
       metrics_listener_(executor), peer_listener_(executor), stop_(executor),
       fresh_state_(executor), started_(core::runtime_clock::now())
 {
@@ -274,7 +274,7 @@
                     chosen_[l].resize(counts[l].size());
                     for (std::size_t e = 0; e < counts[l].size(); ++e) {
                         const double more = counts[l][e] - last_counts_[l][e];
-                        chosen_[l][e] += static_cast<std::uint32_t>(std::max(more, 0.0));
+                        chosen_[l][e] += std::max(more, 0.0);
                     }
                 }
                 last_counts_ = counts;
@@ -296,11 +296,31 @@
     return s;
 }
 
+template <gateway::site_platform Site, rank_port Port>
+std::chrono::milliseconds rank_agent_node<Site, Port>::counts_interval() const
+{
+    const std::optional<layout_shape> s = shape();
+    if (!s) {
+        return status_interval;
+    }
+    // All ranks together stay below the bytes that the leader's host may receive for counts.
+    const double bytes = static_cast<double>(s->ranks * s->layers * s->experts);
+    const std::chrono::duration<double> interval(bytes / counts_bytes_per_second);
+    return std::max(status_interval,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(interval));
+}
+
 template <gateway::site_platform Site, rank_port Port>
 rank_status rank_agent_node<Site, Port>::status_for_leader(bool with_held)
 {
     rank_status s = own_status();
-    s.chosen = std::exchange(chosen_, {});
+    const core::time_point now = core::runtime_clock::now();
+    if (now - chosen_told_ >= counts_interval()) {
+        chosen_told_ = now;
+        for (const std::vector<double>& layer : std::exchange(chosen_, {})) {
+            s.chosen.push_back(to_compact(layer));
+        }
+    }
     const bool held_fits = held_version_ == s.state.active && held_epoch_ == s.state.epoch;
     if (with_held && held_fits) {
         s.held_experts = held_;
@@ -389,6 +409,10 @@
             answer.id = order.value().id;
             if (order.value().term == promised_ && fence_known_) {
                 const bool is_load = order.value().order.kind == order_kind::load;
+                if (is_load) {
+                    order.value().order.experts =
+                        layout_from_compact(order.value().experts).value_or(layout{});
+                }
                 const executed_order done =
                     co_await engine_.execute(std::move(order.value().order));
                 answer.result = done.result;
@@ -625,8 +649,12 @@
         }
         for (const std::shared_ptr<member_session>& s : sessions_) {
             if (s->rank == o.rank) {
-                s->connection->send(
-                    wire::encode(rank_order{++last_order_, leader_->own_term(), o.order}));
+                rank_order message{++last_order_, leader_->own_term(), {}, {}};
+                if (o.order.kind == order_kind::load) {
+                    message.experts = to_compact(o.order.experts);
+                }
+                message.order = std::move(o.order);
+                s->connection->send(wire::encode(message));
                 break;
             }
         }
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "objectstore/kindfeed.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 
 namespace currantpitch::rankcontrol {
 
-/// Time for which an agent's watch waits at the store: what an agent learns there is not urgent.
-inline constexpr std::chrono::milliseconds agent_watch_wait{10000};
+/// What an agent learns from the store is not urgent.
+inline constexpr objectstore::feed_pace agent_pace{std::chrono::milliseconds(20000),
+                                                   std::chrono::milliseconds(500)};
 /// Agents that may lead their group: enough that two may be away.
 inline constexpr std::size_t leader_candidates = 3;
 /// Interval at which a candidate tells the members that it lives.
@@ -16,8 +19,11 @@
 /// depose it.
 inline constexpr std::chrono::milliseconds candidate_silence{1200};
 /// Interval at which an agent looks at its engine, and while the engine copies experts.
-inline constexpr std::chrono::milliseconds status_interval{200};
+inline constexpr std::chrono::milliseconds status_interval{120};
 inline constexpr std::chrono::milliseconds loading_status_interval{40};
+/// Bytes of counts that all members together send to the leader, whose host may have a link of
+/// 1 MB/s that its engine needs too.
+inline constexpr double counts_bytes_per_second = 160'000;
 /// Time for one call to the engine on the same host, which answers within some milliseconds.
 inline constexpr std::chrono::milliseconds engine_call_timeout{150};
 /// Tries of an order that the engine does not answer.
--- a/src/rankcontrol/rankmessages.h
+++ b/src/rankcontrol/rankmessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/identifiers.h"
+#include "rankcontrol/compactform.h"
 #include "rankcontrol/rankstate.h"
 
 #include <string>
@@ -27,11 +28,6 @@
     archive(m.rank, m.group_size, m.epoch, m.open, m.incarnation, m.step, m.active, m.loaded,
             m.armed, m.held, m.slowness);
 }
-template <class Archive>
-void describe(Archive& archive, engine_order& m)
-{
-    archive(m.kind, m.epoch, m.version, m.step, m.experts);
-}
 
 /// First message of a member's connection to a candidate.
 struct member_hello {
@@ -63,28 +59,29 @@
     static constexpr std::uint8_t type = rank_status_type;
     term promised;
     rank_state state;
-    /// By layer; empty in statuses to candidates that do not lead.
-    std::vector<std::vector<std::uint32_t>> chosen;
-    std::chrono::milliseconds chosen_over{};
+    /// By layer; empty in most statuses.
+    std::vector<compact_counts> chosen;
     /// Experts that the rank holds, by layer; empty unless the leader may not know them.
     std::vector<std::vector<expert>> held_experts;
 };
 template <class Archive>
 void describe(Archive& archive, rank_status& m)
 {
-    archive(m.promised, m.state, m.chosen, m.chosen_over, m.held_experts);
+    archive(m.promised, m.state, m.chosen, m.held_experts);
 }
 
 struct rank_order {
     static constexpr std::uint8_t type = rank_order_type;
     std::uint64_t id = 0;
     rankcontrol::term term;
+    /// Without its experts, which come as bytes.
     engine_order order;
+    std::string experts;
 };
 template <class Archive>
 void describe(Archive& archive, rank_order& m)
 {
-    archive(m.id, m.term, m.order);
+    archive(m.id, m.term, m.order.kind, m.order.epoch, m.order.version, m.order.step, m.experts);
 }
 
 /// Answer to an order, with the engine's state after it. Nothing is known of an order that the
