Back off from a store that fails; test requests against scripted endpoints

Cause: failing calls to the store are priced, and each feed repeated them four times a second at every process; crowds of changes at starts woke every watch for each change.

Change: pauses between failing calls double up to a bound by kind; changes are gathered for 0.35 s (1.5 s in agents); time beyond the horizon counts for nothing. tst_requestflow plays every row of the table of attempts, resumed and broken streams, foreign and truncated answers, keys and their age.

--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -9,11 +9,12 @@
 
 /// The watch of the configuration waits at the store for that long. What it shows is proven only
 /// when its call returns, so that this bounds the age of the keys.
-inline constexpr objectstore::feed_pace configuration_pace{std::chrono::milliseconds(1400),
-                                                           std::chrono::milliseconds(0)};
+inline constexpr objectstore::feed_pace configuration_pace{
+    std::chrono::milliseconds(1400), std::chrono::milliseconds(0), std::chrono::milliseconds(500)};
 /// Endpoints and hosts need no proof; their changes come in crowds at starts.
 inline constexpr objectstore::feed_pace membership_pace{std::chrono::milliseconds(8000),
-                                                        std::chrono::milliseconds(150)};
+                                                        std::chrono::milliseconds(350),
+                                                        std::chrono::milliseconds(900)};
 /// Lifetime of an address answer. Short, so that callers have left an entry that stops within
 /// three lifetimes, which is how long some of them keep an answer.
 inline constexpr std::chrono::seconds address_lifetime{1};
--- a/src/objectstore/kindfeed.h
+++ b/src/objectstore/kindfeed.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds watch_wait{1000};
     /// Pause after changes, so that many at once cost few calls.
     std::chrono::milliseconds gather{0};
+    /// Longest pause between calls that fail. Each failed call counts at the store.
+    std::chrono::milliseconds longest_retry_pause{600};
 };
 
 /// Follows one kind of objects in the store: a listing, then a watch for as long as it holds. Each
@@ -57,6 +59,8 @@
     feed_pace pace_;
     std::mt19937_64 random_;
     bool failing_ = false;
+    /// Failures since the last answer.
+    int failures_ = 0;
     core::time_point failing_since_;
 };
 
@@ -137,8 +141,9 @@
 template <store_client Store, feed_sink Sink>
 core::task<void> kind_feed<Store, Sink>::pause()
 {
-    std::uniform_int_distribution<std::int64_t> jitter(watch_retry_delay.count() / 2,
-                                                       watch_retry_delay.count());
+    const std::chrono::milliseconds longest =
+        std::min(watch_retry_delay * (1 << std::min(failures_, 6)), pace_.longest_retry_pause);
+    std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 2, longest.count());
     co_await core::sleep_for(std::chrono::milliseconds(jitter(random_)));
 }
 
@@ -146,6 +151,7 @@
 void kind_feed<Store, Sink>::on_failure(std::string_view call, const core::error& e)
 {
     core::counter_for("store_feed_failures_total", "kind=\"" + kind_ + "\"").add();
+    ++failures_;
     if (failing_ || e.code == core::errc::stale) {
         return;
     }
@@ -161,6 +167,7 @@
 template <store_client Store, feed_sink Sink>
 void kind_feed<Store, Sink>::on_answer()
 {
+    failures_ = 0;
     if (!failing_) {
         return;
     }
--- /dev/null
+++ b/src/proxy/tests/tst_requestflow.cpp
@@ -0,0 +1,446 @@
+#include "core/eventlog.h"
+#include "proxy/callerfront.h"
+
+#include "CppUTest/TestHarness.h"
+
+#include <functional>
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+namespace asio = core::asio;
+
+namespace {
+
+/// The simplest form of requests and answers that says all that is needed.
+struct plain_dialect {
+    static core::result<proxy::caller_request> read_request(http::request received)
+    {
+        proxy::caller_request r;
+        r.id = received.header_value("Id").value_or("");
+        if (r.id.empty()) {
+            return core::error{core::errc::malformed, "no id"};
+        }
+        r.host = received.header_value("Host").value_or("");
+        r.key = received.header_value("Key");
+        r.patience = 2s;
+        r.message = std::move(received);
+        return r;
+    }
+    static http::request to_endpoint(const proxy::caller_request& request,
+                                     const proxy::endpoint_call& call)
+    {
+        http::request m = request.message;
+        m.headers = {{"Id", request.id}, {"For", call.endpoint.str()}};
+        if (call.last_event) {
+            m.headers.push_back({"Last", std::to_string(*call.last_event)});
+        }
+        return m;
+    }
+    static proxy::answer_facts read_answer(const http::response& head)
+    {
+        proxy::answer_facts f;
+        f.id = head.header_value("Id").value_or("");
+        f.genuine = head.header_value("Genuine").has_value();
+        f.not_run = head.header_value("Not-Run").has_value();
+        return f;
+    }
+    static http::response write_refusal(const proxy::caller_request&, const proxy::refusal& refused)
+    {
+        http::response answer;
+        answer.status = refused.status;
+        answer.body = std::string(refused.reason);
+        return answer;
+    }
+};
+
+/// Bytes that an endpoint answers, and whether its connection ends in order, by a reset, or stays.
+struct reply {
+    enum class ending { keep, close, reset, silence };
+    std::string bytes;
+    ending end = ending::keep;
+};
+
+std::string head(const std::string& id, const std::string& more, int status = 200)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nId: " + id + "\r\n" + more;
+}
+std::string whole(const std::string& id, const std::string& body, int status = 200,
+                  const std::string& more = "Genuine: 1\r\n")
+{
+    return head(id, more, status) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+std::string chunk(const std::string& text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+std::string events(int from, int to)
+{
+    std::string out;
+    for (int i = from; i <= to; ++i) {
+        out += chunk("id: " + std::to_string(i) + "\ndata: x\n\n");
+    }
+    return out;
+}
+std::string stream_head(const std::string& id)
+{
+    return head(id, "Genuine: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
+/// Endpoints that answer by script, and what they were asked.
+class scripted_endpoint {
+public:
+    scripted_endpoint(asio::io_context& context, std::string name)
+        : name_(std::move(name)),
+          acceptor_(context, asio::ip::tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0))
+    {
+        core::spawn(context.get_executor(), accept());
+    }
+    asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    void stop_listening() { acceptor_.close(); }
+
+    std::deque<reply> replies;
+    std::vector<std::string> asked;
+
+private:
+    core::task<void> accept()
+    {
+        boost::system::error_code failure;
+        while (true) {
+            asio::ip::tcp::socket s =
+                co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+            if (failure) {
+                co_return;
+            }
+            core::spawn(acceptor_.get_executor(), serve(std::move(s)));
+        }
+    }
+    core::task<void> serve(asio::ip::tcp::socket s)
+    {
+        boost::system::error_code failure;
+        std::string received;
+        while (true) {
+            const std::size_t end =
+                co_await asio::async_read_until(s, asio::dynamic_buffer(received), "\r\n\r\n",
+                                                asio::redirect_error(asio::use_awaitable, failure));
+            if (failure) {
+                co_return;
+            }
+            asked.push_back(received.substr(0, end));
+            received.clear();
+            const reply r = replies.empty() ? reply{"", reply::ending::close} : replies.front();
+            if (!replies.empty()) {
+                replies.pop_front();
+            }
+            co_await asio::async_write(s, asio::buffer(r.bytes),
+                                       asio::redirect_error(asio::use_awaitable, failure));
+            if (r.end == reply::ending::silence) {
+                co_await core::sleep_for(5s);
+            }
+            if (r.end == reply::ending::reset) {
+                // What was written arrives before the reset.
+                co_await core::sleep_for(20ms);
+                s.set_option(asio::socket_base::linger(true, 0), failure);
+            }
+            if (r.end != reply::ending::keep) {
+                s.close(failure);
+                co_return;
+            }
+        }
+    }
+
+    std::string name_;
+    asio::ip::tcp::acceptor acceptor_;
+};
+
+} // namespace
+
+TEST_GROUP(request_flows)
+{
+    asio::io_context context{1};
+    proxy::proxy_context shared{context.get_executor(), core::failure_domain_id("fd"),
+                                proxy::proxy_bounds{1s, {0.2, 1000, 1000ms}}, 1};
+    proxy::caller_front<plain_dialect> front{shared};
+    asio::ip::tcp::acceptor callers{
+        context, asio::ip::tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0)};
+    scripted_endpoint a{context, "a"};
+    scripted_endpoint b{context, "b"};
+    std::string answer;
+
+    void setup() override
+    {
+        core::silence_log();
+        // The slack may be used from the first moment on.
+        shared.started = core::runtime_clock::now() - 2s;
+        core::spawn(context.get_executor(), http::serve(callers, front));
+    }
+    void configure(routes::repeatability repeat, bool keyed = false)
+    {
+        routes::configuration c;
+        c.version = routes::configuration_version{1};
+        routes::route r;
+        r.host = "desk";
+        r.path_prefix = "/";
+        r.repeat = repeat;
+        r.timeout = 1500ms;
+        r.target_latency = 200ms;
+        r.target_gap = 100ms;
+        r.max_attempts = 2;
+        r.services = {{core::service_id("s"), 1}};
+        c.routes = {r};
+        if (keyed) {
+            routes::workspace w;
+            w.name = core::workspace_id("w");
+            w.keys = {"k"};
+            c.workspaces = {w};
+        }
+        shared.configuration.take(std::move(c), core::boot_clock::now());
+        for (scripted_endpoint* e : {&a, &b}) {
+            directory::endpoint_record record;
+            record.endpoint = core::endpoint_id(e == &a ? "a" : "b");
+            record.service = core::service_id("s");
+            record.address = e->address();
+            // The own failure domain comes first.
+            record.failure_domain = core::failure_domain_id(e == &a ? "fd" : "other");
+            record.concurrency = e == &a ? 100 : 1;
+            shared.endpoints.take(record);
+        }
+        shared.apply_endpoints();
+    }
+    /// What the caller reads until the connection ends or the answer is whole.
+    void ask(const std::string& more = "")
+    {
+        core::spawn(
+            context.get_executor(),
+            [](asio::io_context& c, asio::ip::tcp::endpoint to, std::string headers,
+               std::string& out) -> core::task<void> {
+                asio::ip::tcp::socket s(c);
+                boost::system::error_code failure;
+                co_await s.async_connect(to, asio::redirect_error(asio::use_awaitable, failure));
+                const std::string request =
+                    "GET /x HTTP/1.1\r\nHost: desk\r\nId: 7\r\nConnection: close\r\n" + headers +
+                    "\r\n";
+                co_await asio::async_write(s, asio::buffer(request), asio::use_awaitable);
+                std::array<char, 4096> piece{};
+                while (!failure) {
+                    const std::size_t got = co_await s.async_read_some(
+                        asio::buffer(piece), asio::redirect_error(asio::use_awaitable, failure));
+                    out.append(piece.data(), got);
+                }
+                c.stop();
+            }(context, callers.local_endpoint(), more, answer));
+        context.restart();
+        context.run_for(10s);
+    }
+    int status() const
+    {
+        return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+    }
+    bool ends_whole() const
+    {
+        return answer.ends_with("0\r\n\r\n");
+    }
+    std::size_t asked() const
+    {
+        return a.asked.size() + b.asked.size();
+    }
+};
+
+TEST(request_flows, answer_is_passed_on_unchanged)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{whole("7", "text")}};
+    ask();
+    LONGS_EQUAL(200, status());
+    CHECK(answer.find("Genuine: 1") != std::string::npos);
+    CHECK(answer.ends_with("\r\n\r\ntext"));
+}
+
+TEST(request_flows, refused_connection_goes_elsewhere_whatever_the_request)
+{
+    configure(routes::repeatability::at_most_once);
+    a.stop_listening();
+    b.replies = {{whole("7", "text")}};
+    ask();
+    LONGS_EQUAL(200, status());
+}
+
+TEST(request_flows, what_an_endpoint_did_not_run_goes_elsewhere)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{whole("7", "", 503, "Not-Run: 1\r\n")}};
+    b.replies = {{whole("7", "text")}};
+    ask();
+    LONGS_EQUAL(200, status());
+    LONGS_EQUAL(2, asked());
+}
+
+TEST(request_flows, nothing_ran_is_said_only_when_nothing_ran)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{whole("7", "", 503, "Not-Run: 1\r\n")}};
+    b.replies = {{whole("7", "", 503, "Not-Run: 1\r\n")}};
+    ask();
+    LONGS_EQUAL(503, status());
+}
+
+TEST(request_flows, reset_after_sending_is_never_repeated_for_at_most_once)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{"", reply::ending::reset}};
+    ask();
+    LONGS_EQUAL(502, status());
+    LONGS_EQUAL(1, asked());
+}
+
+TEST(request_flows, reset_after_sending_is_repeated_for_idempotent)
+{
+    configure(routes::repeatability::idempotent);
+    a.replies = {{"", reply::ending::reset}};
+    b.replies = {{whole("7", "text")}};
+    ask();
+    LONGS_EQUAL(200, status());
+}
+
+TEST(request_flows, garbage_is_no_answer)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{"this is no answer\r\n\r\n", reply::ending::close}};
+    ask();
+    LONGS_EQUAL(502, status());
+}
+
+TEST(request_flows, answer_that_is_not_genuine_is_not_passed_on)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{whole("7", "text", 200, "")}};
+    ask();
+    LONGS_EQUAL(502, status());
+    CHECK(answer.find("text") == std::string::npos);
+}
+
+TEST(request_flows, truncated_answer_is_not_passed_on)
+{
+    configure(routes::repeatability::idempotent);
+    a.replies = {
+        {head("7", "Genuine: 1\r\nContent-Length: 100\r\n\r\nhalf"), reply::ending::close}};
+    b.replies = {{whole("7", "text")}};
+    ask();
+    CHECK(answer.ends_with("\r\n\r\ntext"));
+}
+
+TEST(request_flows, answer_without_a_length_is_whole_only_after_an_orderly_end)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{head("7", "Genuine: 1\r\n\r\ntext"), reply::ending::close}};
+    ask();
+    LONGS_EQUAL(200, status());
+    answer.clear();
+    a.replies = {{head("7", "Genuine: 1\r\n\r\ntext"), reply::ending::reset}};
+    ask();
+    LONGS_EQUAL(502, status());
+}
+
+TEST(request_flows, answer_to_another_request_is_skipped)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{whole("6", "not mine") + whole("7", "mine")}};
+    ask();
+    CHECK(answer.ends_with("\r\n\r\nmine"));
+}
+
+TEST(request_flows, endpoints_own_failure_is_passed_on_with_its_status)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{whole("7", "broken", 500)}};
+    ask();
+    LONGS_EQUAL(500, status());
+    CHECK(answer.find("Genuine: 1") != std::string::npos);
+}
+
+TEST(request_flows, idempotent_request_leaves_a_silent_endpoint)
+{
+    configure(routes::repeatability::idempotent);
+    a.replies = {{"", reply::ending::silence}};
+    b.replies = {{whole("7", "text")}};
+    ask();
+    LONGS_EQUAL(200, status());
+}
+
+TEST(request_flows, time_that_is_up_is_said_and_nothing_more)
+{
+    configure(routes::repeatability::at_most_once);
+    a.replies = {{"", reply::ending::silence}};
+    const core::time_point began = core::runtime_clock::now();
+    ask();
+    LONGS_EQUAL(504, status());
+    CHECK(core::runtime_clock::now() - began < 2000ms);
+}
+
+TEST(request_flows, broken_stream_goes_on_elsewhere_after_the_last_event)
+{
+    configure(routes::repeatability::resumable_stream);
+    a.replies = {{stream_head("7") + events(0, 2) + "10\r\nid: 3\nda", reply::ending::reset}};
+    b.replies = {{stream_head("7") + events(3, 4) + "0\r\n\r\n"}};
+    ask();
+    CHECK(ends_whole());
+    CHECK(b.asked.front().find("Last: 2") != std::string::npos);
+    std::size_t place = 0;
+    for (int i = 0; i <= 4; ++i) {
+        place = answer.find("id: " + std::to_string(i) + "\ndata: x", place);
+        CHECK(place != std::string::npos);
+    }
+    CHECK(answer.find("id: 3") == answer.rfind("id: 3"));
+}
+
+TEST(request_flows, stream_that_cannot_go_on_does_not_look_whole)
+{
+    configure(routes::repeatability::one_shot_stream);
+    a.replies = {{stream_head("7") + events(0, 2), reply::ending::reset}};
+    ask();
+    LONGS_EQUAL(200, status());
+    CHECK(!ends_whole());
+    LONGS_EQUAL(1, asked());
+}
+
+TEST(request_flows, stream_with_a_gap_does_not_look_whole)
+{
+    configure(routes::repeatability::one_shot_stream);
+    a.replies = {{stream_head("7") + events(0, 1) + events(3, 4) + "0\r\n\r\n"}};
+    ask();
+    CHECK(!ends_whole());
+    CHECK(answer.find("id: 3") == std::string::npos);
+}
+
+TEST(request_flows, unknown_routes_and_keys_are_refused)
+{
+    configure(routes::repeatability::idempotent, true);
+    ask("Key: other\r\n");
+    LONGS_EQUAL(401, status());
+    answer.clear();
+    a.replies = {{whole("7", "text")}};
+    ask("Key: k\r\n");
+    LONGS_EQUAL(200, status());
+}
+
+TEST(request_flows, keys_are_not_trusted_beyond_their_bound)
+{
+    configure(routes::repeatability::idempotent, true);
+    core::boot_clock::suspend_for(0ms);
+    const core::time_point until = core::runtime_clock::now() + 1100ms;
+    while (core::runtime_clock::now() < until) {
+        context.run_for(100ms);
+        context.restart();
+    }
+    ask("Key: k\r\n");
+    LONGS_EQUAL(503, status());
+    LONGS_EQUAL(0, asked());
+}
+
+TEST(request_flows, without_a_configuration_nothing_is_denied)
+{
+    ask();
+    LONGS_EQUAL(503, status());
+}
--- a/src/rankcontrol/evenplanner.cpp
+++ b/src/rankcontrol/evenplanner.cpp
@@ -321,7 +321,9 @@
         const seconds until_last =
             rest > 0 ? until_first + copying_of(rest) + costs.switch_time : until_first;
         const seconds after = std::max(seconds{}, costs.horizon - until_last);
-        plan.net_gain = (until_last - until_first) * saved_by(plan.skew_after) +
+        const seconds between =
+            std::min(until_last, costs.horizon) - std::min(until_first, costs.horizon);
+        plan.net_gain = between * saved_by(plan.skew_after) +
                         after * std::max(saved_by(last.skew_after), saved_by(plan.skew_after)) -
                         copying_of(plan.most_copies + rest) * costs.copy_slowdown;
         const bool changes = plan.most_copies > 0 || plan.skew_after < before;
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -10,7 +10,8 @@
 
 /// What an agent learns from the store is not urgent.
 inline constexpr objectstore::feed_pace agent_pace{std::chrono::milliseconds(20000),
-                                                   std::chrono::milliseconds(500)};
+                                                   std::chrono::milliseconds(1500),
+                                                   std::chrono::milliseconds(3000)};
 /// Agents that may lead their group: enough that two may be away.
 inline constexpr std::size_t leader_candidates = 3;
 /// Interval at which a candidate tells the members that it lives.
