Apply a service's profile when the configuration comes

Cause: after a restart the endpoints are listed before the configuration is known.

Change: pace and weighing follow the configuration whenever it or the endpoints change; a switch of maps must gain 0.13 s of passes. Test: engines_are_used_fully_when_they_were_known_before_the_configuration.

--- a/src/dispatch/pacecontroller.cpp
+++ b/src/dispatch/pacecontroller.cpp
@@ -19,6 +19,15 @@
 {
 }
 
+void pace_controller::set_concurrency(unsigned concurrency)
+{
+    const double most = std::max(1.0, static_cast<double>(concurrency));
+    if (most != most_) {
+        most_ = most;
+        limit_ = most;
+    }
+}
+
 void pace_controller::observe(core::duration gap, core::duration target, core::time_point now)
 {
     if (now - interval_began_ >= pace_interval) {
--- a/src/dispatch/pacecontroller.h
+++ b/src/dispatch/pacecontroller.h
@@ -13,6 +13,9 @@
 public:
     /// The limit lies between a part of the engines' slots and all of them.
     explicit pace_controller(unsigned concurrency);
+    /// Takes another number of slots; the limit begins at all of them. Nothing happens when it is
+    /// the same.
+    void set_concurrency(unsigned concurrency);
 
     /// A pause between two events of one stream, and the longest that is on time.
     void observe(core::duration gap, core::duration target, core::time_point now);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -62,6 +62,8 @@
 
     /// The endpoints that may be given work from now on.
     void set_endpoints(const std::vector<available_endpoint>& endpoints);
+    /// Whether the endpoints work independently, so that a slow one gets less.
+    void set_weigh_by_latency(bool weigh) { weigh_by_latency_ = weigh; }
     /// Requests that each endpoint runs at most, beside its own concurrency.
     void set_limit(double requests) { limit_ = requests; }
     void on_peer_load(const core::host_id& peer, const std::map<core::endpoint_id, unsigned>& load,
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -5,6 +5,8 @@
 
 namespace currantpitch::proxy {
 
+/// Limit on the requests at one endpoint of a service without engines, which its own slots bound.
+inline constexpr unsigned unpaced_concurrency = 1'000'000;
 /// Time to connect to an endpoint: a round trip between failure domains takes a few milliseconds,
 /// and a lost opening packet is sent again after a second only.
 inline constexpr std::chrono::milliseconds connect_timeout{400};
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -1,25 +1,34 @@
 #include "proxy/proxycontext.h"
 
+#include "proxy/proxyconstants.h"
+
 namespace currantpitch::proxy {
 
 service_state& proxy_context::service(const core::service_id& name)
 {
     std::unique_ptr<service_state>& state = services[name];
     if (!state) {
-        const std::shared_ptr<const routes::route_table>& table = configuration.table();
-        const routes::service_profile* const profile = table ? table->find_service(name) : nullptr;
-        const bool engine = profile != nullptr && profile->engine.has_value();
-        const unsigned concurrency = engine ? profile->engine->concurrency : 0;
-        // Engines of a group advance together, so that none of them is slower than the others.
-        dispatch::scheduler decisions(own_domain, !engine, random());
-        state = std::make_unique<service_state>(executor, std::move(decisions),
-                                                admission::retry_window(bounds.retries, started),
-                                                concurrency);
+        state = std::make_unique<service_state>(
+            executor, dispatch::scheduler(own_domain, true, random()),
+            admission::retry_window(bounds.retries, started), 0);
         state->retries.set_sharers(sharers);
+        apply_profile(name, *state);
     }
     return *state;
 }
 
+void proxy_context::apply_profile(const core::service_id& name, service_state& state)
+{
+    // Endpoints may be known before the configuration that says what they are.
+    const std::shared_ptr<const routes::route_table>& table = configuration.table();
+    const routes::service_profile* const profile = table ? table->find_service(name) : nullptr;
+    const bool engine = profile != nullptr && profile->engine.has_value();
+    // Engines of a group advance together, so that none of them is slower than the others.
+    state.queue.decisions().set_weigh_by_latency(!engine);
+    state.pace.set_concurrency(engine ? profile->engine->concurrency : unpaced_concurrency);
+    state.queue.decisions().set_limit(state.pace.limit());
+}
+
 void proxy_context::apply_endpoints()
 {
     std::map<core::service_id, std::vector<dispatch::available_endpoint>> by_service;
@@ -38,6 +47,7 @@
     for (const std::pair<const core::service_id, std::vector<dispatch::available_endpoint>>& e :
          by_service) {
         service_state& state = service(e.first);
+        apply_profile(e.first, state);
         state.queue.decisions().set_endpoints(e.second);
         state.queue.settle();
     }
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -50,11 +50,13 @@
 
     /// The state of a service; created at its first use.
     service_state& service(const core::service_id& name);
-    /// Gives every service its endpoints and bounds anew.
+    /// Gives every service its endpoints, and what the configuration says of it, anew.
     void apply_endpoints();
     /// Processes that share the retry allowance, this one included.
     void set_sharers(std::size_t processes);
 
+    void apply_profile(const core::service_id& name, service_state& state);
+
     core::asio::any_io_executor executor;
     core::failure_domain_id own_domain;
     proxy_bounds bounds;
--- /dev/null
+++ b/src/proxy/tests/tst_proxycontext.cpp
@@ -0,0 +1,72 @@
+#include "proxy/proxycontext.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+
+TEST_GROUP(proxy_contexts)
+{
+    core::asio::io_context io{1};
+    proxy::proxy_context context{io.get_executor(), core::failure_domain_id("fd"),
+                                 proxy::proxy_bounds{}, 1};
+    const core::service_id tutor{"tutor"};
+
+    void register_endpoint()
+    {
+        directory::endpoint_record r;
+        r.endpoint = core::endpoint_id("a");
+        r.service = tutor;
+        r.concurrency = 12;
+        context.endpoints.take(r);
+        context.apply_endpoints();
+    }
+    void configure()
+    {
+        routes::configuration c;
+        c.version = routes::configuration_version{1};
+        routes::service_profile s;
+        s.service = tutor;
+        s.engine.emplace();
+        s.engine->concurrency = 12;
+        c.services = {s};
+        context.configuration.take(std::move(c), core::boot_clock::now());
+        context.apply_endpoints();
+    }
+    std::size_t starts()
+    {
+        dispatch::dispatch_request r;
+        const core::time_point now = core::runtime_clock::now();
+        r.give_up = now + 1s;
+        std::size_t count = 0;
+        while (context.service(tutor).queue.decisions().start(r, now)) {
+            ++count;
+        }
+        return count;
+    }
+};
+
+TEST(proxy_contexts, engines_are_used_fully_when_they_were_known_before_the_configuration)
+{
+    register_endpoint();
+    configure();
+    DOUBLES_EQUAL(12, context.service(tutor).pace.limit(), 1e-9);
+    LONGS_EQUAL(12, starts());
+}
+
+TEST(proxy_contexts, endpoints_without_engines_are_used_up_to_their_slots)
+{
+    register_endpoint();
+    LONGS_EQUAL(12, starts());
+}
+
+TEST(proxy_contexts, draining_endpoints_get_nothing)
+{
+    configure();
+    register_endpoint();
+    directory::endpoint_record r = *context.endpoints.find(core::endpoint_id("a"));
+    r.draining = true;
+    context.endpoints.take(r);
+    context.apply_endpoints();
+    LONGS_EQUAL(0, starts());
+}
--- a/src/rankcontrol/evenplanner.cpp
+++ b/src/rankcontrol/evenplanner.cpp
@@ -13,7 +13,7 @@
 /// Gain of a move, as a part of the busiest rank's load, below which the search ends.
 constexpr double least_gain = 0.002;
 /// Least net gain of a switch, in time of the group's passes.
-constexpr std::chrono::duration<double> least_net_gain{0.08};
+constexpr std::chrono::duration<double> least_net_gain{0.13};
 
 /// One layer under change: who holds what, and the ranks' loads.
 class layer_search {
