Leave an endpoint whose successor has its address; keep a failure for want of better

Cause: after the power of everything was off, entries of dead endpoints stayed in the store for three heartbeats beside those of their successors at the same addresses.

Change: an endpoint with a younger one at its address is not used; the endpoint's failure is passed on when nothing better came. Tests fail without it: successor_at_the_same_address_replaces_an_endpoint, endpoints_own_failure_is_kept_for_when_a_repeat_brings_nothing.

--- a/src/directory/endpointdirectory.cpp
+++ b/src/directory/endpointdirectory.cpp
@@ -1,5 +1,7 @@
 #include "directory/endpointdirectory.h"
 
+#include <algorithm>
+
 namespace currantpitch::directory {
 
 bool endpoint_directory::returning(core::time_point now) const
@@ -72,7 +74,18 @@
 bool endpoint_directory::usable(const core::endpoint_id& endpoint) const
 {
     const endpoint_record* const record = find(endpoint);
-    return record != nullptr && !record->draining;
+    return record != nullptr && !record->draining && !superseded(*record);
+}
+
+bool endpoint_directory::superseded(const endpoint_record& record) const
+{
+    // An endpoint that died keeps its entry until its heartbeats are missed; its successor often
+    // starts at the same address under another name.
+    return std::any_of(records_.begin(), records_.end(),
+                       [&record](const std::pair<const core::endpoint_id, endpoint_record>& e) {
+                           return e.second.address == record.address &&
+                                  e.second.incarnation > record.incarnation;
+                       });
 }
 
 } // namespace currantpitch::directory
--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -49,12 +49,14 @@
 
     const endpoint_record* find(const core::endpoint_id& endpoint) const;
     const std::map<core::endpoint_id, endpoint_record>& all() const { return records_; }
-    /// Whether new work may be given to the endpoint.
+    /// Whether new work may be given to the endpoint: it is registered, does not drain, and no
+    /// younger one has registered at its address since.
     bool usable(const core::endpoint_id& endpoint) const;
     bool empty() const { return records_.empty(); }
 
 private:
     bool returning(core::time_point now) const;
+    bool superseded(const endpoint_record& record) const;
 
     std::map<core::endpoint_id, endpoint_record> records_;
     /// Missing since the store is back, and not yet dropped.
--- a/src/directory/tests/tst_directory.cpp
+++ b/src/directory/tests/tst_directory.cpp
@@ -67,6 +67,21 @@
     CHECK(!known.usable(b));
 }
 
+TEST(directories, successor_at_the_same_address_replaces_an_endpoint)
+{
+    directory::endpoint_record before = record("a");
+    before.incarnation = core::incarnation{1};
+    directory::endpoint_record after = record("b");
+    after.incarnation = core::incarnation{2};
+    before.address = after.address =
+        boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address_v4("10.0.0.1"), 80);
+    known.take(before);
+    CHECK(known.usable(a));
+    known.take(after);
+    CHECK(!known.usable(a));
+    CHECK(known.usable(b));
+}
+
 TEST(directories, draining_endpoint_is_not_waited_for)
 {
     known.take(record("a", true));
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -39,7 +39,7 @@
     for (const std::pair<const core::endpoint_id, directory::endpoint_record>& entry :
          endpoints.all()) {
         const directory::endpoint_record& record = entry.second;
-        if (!record.draining) {
+        if (endpoints.usable(record.endpoint)) {
             by_service[record.service].push_back(
                 {record.endpoint, record.failure_domain, record.concurrency});
         }
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -72,6 +72,7 @@
     bool silent_too_long(core::time_point now) const;
     core::task<bool> send_events(std::string events, const http::response& head);
     attempt_situation situation(attempt_result result);
+    core::task<void> finish_or_deliver_failure(next_step step, attempt_end end);
     core::task<void> finish(next_step step, attempt_end end);
     core::task<void> refuse(unsigned status, std::string_view reason);
     void log_attempt(const core::endpoint_id& endpoint, const attempt_end& end,
@@ -84,6 +85,8 @@
     service_state& service_;
     core::time_point deadline_;
     event_sequence events_;
+    /// An endpoint's own failure, which is passed on when nothing better comes of a repeat.
+    std::optional<attempt_end> failure_;
     unsigned attempts_ = 0;
     bool may_have_run_ = false;
     bool answer_begun_ = false;
@@ -108,8 +111,8 @@
             none.why = taken.error().code == core::errc::unavailable ? "no_endpoint" : "no_slot";
             const attempt_situation at_end{routed_.route->repeat, answer_begun_, may_have_run_,
                                            false, false};
-            const next_step step = decide(attempt_result::not_run, at_end);
-            co_await finish(step, std::move(none));
+            co_await finish_or_deliver_failure(decide(attempt_result::not_run, at_end),
+                                               std::move(none));
             co_return;
         }
         dispatch::work_queue::slot slot = std::move(taken.value());
@@ -123,9 +126,12 @@
             caller_lost_ ? next_step::cut : decide(end.result, situation(end.result));
         log_attempt(slot.endpoint(), end, step);
         if (step != next_step::repeat) {
-            co_await finish(step, std::move(end));
+            co_await finish_or_deliver_failure(step, std::move(end));
             co_return;
         }
+        if (end.result == attempt_result::failed) {
+            failure_ = std::move(end);
+        }
         events_.begin_attempt();
     }
 }
@@ -431,6 +437,17 @@
     }
 }
 
+template <proxy_dialect Dialect>
+core::task<void> request_flow<Dialect>::finish_or_deliver_failure(next_step step, attempt_end end)
+{
+    const bool nothing_better = step == next_step::refuse || step == next_step::fail;
+    if (nothing_better && failure_) {
+        co_await finish(next_step::deliver, std::move(*failure_));
+        co_return;
+    }
+    co_await finish(step, std::move(end));
+}
+
 template <proxy_dialect Dialect>
 core::task<void> request_flow<Dialect>::finish(next_step step, attempt_end end)
 {
--- a/src/proxy/tests/tst_requestflow.cpp
+++ b/src/proxy/tests/tst_requestflow.cpp
@@ -360,6 +360,17 @@
     CHECK(answer.find("Genuine: 1") != std::string::npos);
 }
 
+TEST(request_flows, endpoints_own_failure_is_kept_for_when_a_repeat_brings_nothing)
+{
+    configure(routes::repeatability::idempotent);
+    a.replies = {{whole("7", "broken", 500)}};
+    b.replies = {{"", reply::ending::reset}};
+    ask();
+    LONGS_EQUAL(500, status());
+    CHECK(answer.ends_with("\r\n\r\nbroken"));
+    LONGS_EQUAL(2, asked());
+}
+
 TEST(request_flows, idempotent_request_leaves_a_silent_endpoint)
 {
     configure(routes::repeatability::idempotent);
