--- a/src/apps/currantpitchd/main.cpp
+++ b/src/apps/currantpitchd/main.cpp
@@ -1,5 +1,6 @@
 #include "agent/agentnode.h"
 #include "core/eventlog.h"
+#include "core/runnode.h"
 #include "endpoints/httpservice.h"
 #include "entry/entrynode.h"
 #include "settings/daemonsettings.h"
@@ -7,7 +8,6 @@
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
 
-#include <csignal>
 #include <iostream>
 #include <random>
 
@@ -25,27 +25,10 @@
     std::random_device entropy;
     const std::uint64_t seed = (static_cast<std::uint64_t>(entropy()) << 32 | entropy()) | 1;
     Node node(context.get_executor(), settings, seed);
-    core::asio::signal_set signals(context, SIGTERM, SIGINT);
-    std::function<void(const boost::system::error_code&, int)> on_signal =
-        [&node, &signals, &on_signal](const boost::system::error_code& failure, int) {
-            if (!failure) {
-                node.begin_stop("signal");
-                signals.async_wait(on_signal);
-            }
-        };
-    signals.async_wait(on_signal);
-    int code = exit_ok;
-    core::spawn_then(context.get_executor(), node.run(),
-                     [&context, &code](core::result<void> ended) {
-                         if (!ended) {
-                             core::log_event("start_failed", core::log_event::level::error)
-                                 .field("reason", ended.error().detail);
-                             code = exit_failed;
-                         }
-                         context.stop();
-                     });
-    context.run();
-    return code;
+    const auto on_reload = [] {
+        core::log_event("reload").field("applied", "at the next start");
+    };
+    return core::run_node(context, node, on_reload) ? exit_ok : exit_failed;
 }
 
 int run(const settings::daemon_settings& settings)
--- /dev/null
+++ b/src/core/runnode.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/task.h"
+
+#include <csignal>
+#include <functional>
+
+namespace currantpitch::core {
+
+/// Runs a node's task on this thread until its planned stop has ended. SIGTERM and SIGINT begin the
+/// stop; SIGHUP calls on_reload. Whether the node started and stopped as it should.
+template <class Node, class OnReload>
+bool run_node(asio::io_context& context, Node& node, OnReload on_reload)
+{
+    asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    std::function<void(const boost::system::error_code&, int)> on_signal =
+        [&](const boost::system::error_code& failure, int number) {
+            if (failure) {
+                return;
+            }
+            if (number == SIGHUP) {
+                on_reload();
+            }
+            else {
+                node.begin_stop("signal");
+            }
+            signals.async_wait(on_signal);
+        };
+    signals.async_wait(on_signal);
+    bool succeeded = true;
+    spawn_then(context.get_executor(), node.run(), [&context, &succeeded](result<void> ended) {
+        if (!ended) {
+            log_event("start_failed", log_event::level::error)
+                .field("reason", ended.error().detail);
+            succeeded = false;
+        }
+        context.stop();
+    });
+    context.run();
+    return succeeded;
+}
+
+} // namespace currantpitch::core
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -28,6 +28,8 @@
     core::task<core::result<void>> run();
     /// Begins the planned stop.
     void begin_stop(std::string_view reason);
+    /// Takes the bounds of changed settings; addresses stay as they are until the next start.
+    void apply(const settings::node_settings& changed);
 
 private:
     /// Answers which addresses callers are to use.
@@ -193,6 +195,14 @@
     stop_.notify();
 }
 
+template <site_platform Site>
+void gateway_node<Site>::apply(const settings::node_settings& changed)
+{
+    settings_.revocation_time = changed.revocation_time;
+    settings_.stop_timeout = changed.stop_timeout;
+    context_.bounds.key_trust = bounds_of(changed).key_trust;
+}
+
 template <site_platform Site>
 bool gateway_node<Site>::ready() const
 {
--- a/src/rankcontrol/rankagentnode.h
+++ b/src/rankcontrol/rankagentnode.h
@@ -30,6 +30,8 @@
 
     core::task<core::result<void>> run();
     void begin_stop(std::string_view reason);
+    /// Nothing of an agent's settings changes while it runs.
+    void apply(const settings::node_settings&) {}
 
 private:
     /// Takes the service's engine profile in.
