--- a/src/core/logbuffer.h
+++ b/src/core/logbuffer.h
@@ -10,7 +10,7 @@
 namespace currantpitch::core {
 
 /// Bytes of log lines that wait to be written; further lines are dropped and counted.
-inline constexpr std::size_t max_buffered_log_bytes = 512 * 1024;
+inline constexpr std::size_t max_buffered_log_bytes = std::size_t{512} * 1024;
 /// Interval at which buffered lines are written, so that a busy process writes few times.
 inline constexpr std::chrono::milliseconds log_flush_interval{100};
 
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -44,9 +44,9 @@
 /// Time after which a caller may come back to an entry that cannot judge requests yet.
 inline constexpr std::chrono::milliseconds unready_retry_after{500};
 /// Largest whole answer of an endpoint, in bytes.
-inline constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
+inline constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 /// Largest single event of a stream, in bytes.
-inline constexpr std::size_t max_event_bytes = 256 * 1024;
+inline constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 /// Foreign answers on one connection that are skipped before it is given up.
 inline constexpr int max_foreign_answers = 2;
 
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -93,8 +93,8 @@
 
 /// Bounds on what a caller may send.
 struct caller_limits {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
     std::chrono::milliseconds header_timeout{3000};
     std::chrono::milliseconds idle_timeout{15000};
 };
@@ -113,6 +113,7 @@
     explicit route_table(configuration accepted);
     route_table(const route_table&) = delete;
     route_table& operator=(const route_table&) = delete;
+    ~route_table() = default;
 
     configuration_version version() const { return accepted_.version; }
     const caller_limits& limits() const { return accepted_.limits; }
