Draw endpoints by lot, and keep to a part of the slots under load

Ruled out: hanging endpoints (one of 63), the limit of the pace (at its least, 6). Change: the least loaded of one near and one other endpoint drawn by lot; once four fifths of the slots are in use, a gateway keeps to its part of them. Peers' loads are summed when they come.

--- a/src/dispatch/dispatchconstants.h
+++ b/src/dispatch/dispatchconstants.h
@@ -8,6 +8,11 @@
 /// Age above which a peer's load report counts as zero: peers report every 100 ms, and one that is
 /// silent for ten reports has most likely stopped.
 inline constexpr std::chrono::milliseconds load_report_lifetime{1000};
+/// Endpoints of the own failure domain, and of all, that are drawn by lot for a request. Two
+/// choices keep loads nearly even; more crowd on few endpoints while reports are under way.
+inline constexpr std::size_t drawn_endpoints = 1;
+/// Part of all slots in use beyond which an entry keeps to its part of them.
+inline constexpr double busy_share = 0.8;
 /// Time for which an endpoint that refused work for want of room is passed over: about the time
 /// in which one of its slots becomes free.
 inline constexpr std::chrono::milliseconds refusal_pause{100};
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -66,30 +66,61 @@
                              const std::map<core::endpoint_id, unsigned>& load,
                              core::time_point now)
 {
-    peers_[peer] = peer_state{load, now};
+    forget_peer(peer);
+    peer_state& state = peers_[peer];
+    state = peer_state{load, now};
+    count_peer(state, true);
+    oldest_report_ = std::min(oldest_report_, now);
 }
 
 void scheduler::forget_peer(const core::host_id& peer)
 {
-    peers_.erase(peer);
+    const auto found = peers_.find(peer);
+    if (found != peers_.end()) {
+        count_peer(found->second, false);
+        peers_.erase(found);
+    }
+}
+
+void scheduler::count_peer(const peer_state& peer, bool added)
+{
+    for (const std::pair<const core::endpoint_id, unsigned>& one : peer.load) {
+        unsigned& total = peer_totals_[one.first];
+        total = added ? total + one.second : total - one.second;
+        if (total == 0) {
+            peer_totals_.erase(one.first);
+        }
+    }
 }
 
-unsigned scheduler::peers_load(const core::endpoint_id& endpoint, core::time_point now) const
+void scheduler::forget_silent_peers(core::time_point now)
 {
-    unsigned total = 0;
-    for (const std::pair<const core::host_id, peer_state>& entry : peers_) {
-        const auto found = entry.second.load.find(endpoint);
-        if (found != entry.second.load.end() && now - entry.second.at <= load_report_lifetime) {
-            total += found->second;
+    if (peers_.empty() || now - oldest_report_ <= load_report_lifetime) {
+        return;
+    }
+    oldest_report_ = now;
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        if (now - it->second.at > load_report_lifetime) {
+            count_peer(it->second, false);
+            it = peers_.erase(it);
+            continue;
         }
+        oldest_report_ = std::min(oldest_report_, it->second.at);
+        ++it;
     }
-    return total;
 }
 
-unsigned scheduler::load_of(const core::endpoint_id& endpoint, core::time_point now) const
+unsigned scheduler::peers_load(const core::endpoint_id& endpoint) const
 {
+    const auto found = peer_totals_.find(endpoint);
+    return found == peer_totals_.end() ? 0 : found->second;
+}
+
+unsigned scheduler::load_of(const core::endpoint_id& endpoint, core::time_point now)
+{
+    forget_silent_peers(now);
     const auto found = endpoints_.find(endpoint);
-    return peers_load(endpoint, now) + (found == endpoints_.end() ? 0 : found->second.own);
+    return peers_load(endpoint) + (found == endpoints_.end() ? 0 : found->second.own);
 }
 
 double scheduler::mean_latency() const
@@ -131,13 +162,11 @@
     return static_cast<double>(passed_over) > most_passed_over * static_cast<double>(available);
 }
 
-const scheduler::endpoint_state* scheduler::choose(const dispatch_request& request,
-                                                   core::time_point now)
+std::vector<scheduler::candidate> scheduler::candidates(const dispatch_request& request,
+                                                        core::time_point now)
 {
     const bool ignore_failures = too_many_passed_over(now);
-    const endpoint_state* best = nullptr;
-    double best_score = 0;
-    std::uniform_real_distribution<double> tie_break(0, 0.2);
+    std::vector<candidate> found;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
         const endpoint_state& s = entry.second;
         const bool eligible = s.available && !request.excluded.contains(entry.first) &&
@@ -145,14 +174,54 @@
         if (!eligible) {
             continue;
         }
-        const unsigned load = s.own + peers_load(entry.first, now);
-        const double most = std::min(limit_, static_cast<double>(s.known.concurrency));
-        if (static_cast<double>(load) + 1 > most && load > 0) {
-            continue;
+        const unsigned load = s.own + peers_load(entry.first);
+        if (load < s.known.concurrency || load == 0) {
+            found.push_back({&s, load});
         }
-        const double its_score = score(s, load, now) + tie_break(random_);
+    }
+    return found;
+}
+
+bool scheduler::own_part_taken(core::time_point now)
+{
+    forget_silent_peers(now);
+    double slots = 0;
+    double used = 0;
+    double own = 0;
+    for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
+        const endpoint_state& s = entry.second;
+        slots += s.available ? std::min(limit_, static_cast<double>(s.known.concurrency)) : 0;
+        used += s.own + peers_load(entry.first);
+        own += s.own;
+    }
+    const double part = std::max(slots / static_cast<double>(sharers_), 1.0);
+    return used >= busy_share * slots && own + 1 > part;
+}
+
+const scheduler::endpoint_state* scheduler::choose(const dispatch_request& request,
+                                                   core::time_point now)
+{
+    if (own_part_taken(now)) {
+        return nullptr;
+    }
+    std::vector<candidate> all = candidates(request, now);
+    // Some of the own failure domain first, then some of all.
+    const auto others = std::partition(all.begin(), all.end(), [this](const candidate& c) {
+        return c.endpoint->known.failure_domain == own_domain_;
+    });
+    std::shuffle(all.begin(), others, random_);
+    const std::size_t near =
+        std::min(drawn_endpoints, static_cast<std::size_t>(others - all.begin()));
+    std::shuffle(all.begin() + static_cast<long>(near), all.end(), random_);
+    all.resize(std::min(all.size(), near + drawn_endpoints));
+
+    const endpoint_state* best = nullptr;
+    double best_score = 0;
+    std::uniform_real_distribution<double> tie_break(0, 0.2);
+    for (const candidate& c : all) {
+        const double its_score = score(*c.endpoint, c.load, now) + tie_break(random_);
         if (best == nullptr || its_score < best_score) {
-            best = &s;
+            best = c.endpoint;
             best_score = its_score;
         }
     }
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace currantpitch::dispatch {
@@ -50,9 +51,10 @@
 };
 
 /// Decides when and at which endpoint of one service a request of this entry runs. An endpoint's
-/// load is this entry's own requests and those that the peers reported. The least loaded endpoint
-/// of those that are not passed over is taken, weighed by its service time where the service's
-/// endpoints work independently.
+/// load is this entry's own requests and those that the peers reported. The least loaded of a few
+/// endpoints drawn by lot is taken, since many entries that all take the least loaded one would
+/// crowd there before they hear of each other; weighed by its service time where the service's
+/// endpoints work independently. Once most slots are in use an entry keeps to its part of them.
 class scheduler {
 public:
     scheduler(core::failure_domain_id own_domain, bool weigh_by_latency, std::uint64_t seed)
@@ -64,6 +66,8 @@
     void set_endpoints(const std::vector<available_endpoint>& endpoints);
     /// Whether the endpoints work independently, so that a slow one gets less.
     void set_weigh_by_latency(bool weigh) { weigh_by_latency_ = weigh; }
+    /// Entries that share the endpoints, this one included.
+    void set_sharers(std::size_t entries) { sharers_ = entries == 0 ? 1 : entries; }
     /// Requests that each endpoint runs at most, beside its own concurrency.
     void set_limit(double requests) { limit_ = requests; }
     void on_peer_load(const core::host_id& peer, const std::map<core::endpoint_id, unsigned>& load,
@@ -90,7 +94,7 @@
     std::size_t waiting() const { return waiting_.size(); }
     std::size_t size() const { return endpoints_.size(); }
     /// Requests that run at the endpoint by what is known here.
-    unsigned load_of(const core::endpoint_id& endpoint, core::time_point now) const;
+    unsigned load_of(const core::endpoint_id& endpoint, core::time_point now);
     /// Time after which another try is likely to find room.
     std::chrono::milliseconds retry_after() const;
 
@@ -116,8 +120,19 @@
         bool operator()(const waiting_request& a, const waiting_request& b) const;
     };
 
+    /// An endpoint that has room for a request, and its load.
+    struct candidate {
+        const endpoint_state* endpoint = nullptr;
+        unsigned load = 0;
+    };
+
     const endpoint_state* choose(const dispatch_request& request, core::time_point now);
-    unsigned peers_load(const core::endpoint_id& endpoint, core::time_point now) const;
+    std::vector<candidate> candidates(const dispatch_request& request, core::time_point now);
+    /// Most slots are in use, and this entry has its part of them.
+    bool own_part_taken(core::time_point now);
+    unsigned peers_load(const core::endpoint_id& endpoint) const;
+    void count_peer(const peer_state& peer, bool added);
+    void forget_silent_peers(core::time_point now);
     double score(const endpoint_state& s, unsigned load, core::time_point now) const;
     double mean_latency() const;
     bool too_many_passed_over(core::time_point now) const;
@@ -128,6 +143,10 @@
     double limit_ = 1e9;
     std::map<core::endpoint_id, endpoint_state> endpoints_;
     std::map<core::host_id, peer_state> peers_;
+    /// Sum of the peers' reports, and the time of the oldest of them.
+    std::unordered_map<core::endpoint_id, unsigned> peer_totals_;
+    core::time_point oldest_report_ = core::time_point::max();
+    std::size_t sharers_ = 1;
     std::set<waiting_request, by_urgency> waiting_;
     ticket last_ticket_;
     /// Running mean of service times, for the time until a slot becomes free.
--- a/src/dispatch/tests/tst_scheduler.cpp
+++ b/src/dispatch/tests/tst_scheduler.cpp
@@ -194,3 +194,100 @@
     }
     DOUBLES_EQUAL(10, pace.limit(), 0.01);
 }
+
+// Many entries choose at once, and hear of each other only by reports that are some time old.
+TEST_GROUP(crowds)
+{
+    static constexpr std::size_t entries = 30;
+    static constexpr std::size_t endpoints = 50;
+    static constexpr unsigned slots = 10;
+    static constexpr double limit = 6;
+
+    struct running {
+        std::size_t entry;
+        core::endpoint_id endpoint;
+        core::time_point ends;
+    };
+
+    /// Most requests that were ever at one endpoint, and the mean part of the limit that was used.
+    struct outcome {
+        unsigned most = 0;
+        double used = 0;
+    };
+
+    /// Demand in parts of what the limit allows; each request takes a second.
+    static outcome play(double demand)
+    {
+        std::mt19937_64 random(7);
+        std::vector<dispatch::scheduler> all;
+        std::vector<dispatch::available_endpoint> known;
+        for (std::size_t e = 0; e < endpoints; ++e) {
+            known.push_back(endpoint(core::endpoint_id("e" + std::to_string(e)), slots));
+        }
+        for (std::size_t i = 0; i < entries; ++i) {
+            all.emplace_back(here, false, i + 1);
+            all.back().set_endpoints(known);
+            all.back().set_limit(limit);
+            all.back().set_sharers(entries);
+        }
+        core::time_point now{1h};
+        std::vector<running> work;
+        outcome o;
+        const auto granted = [&](std::size_t entry, const core::endpoint_id& at) {
+            work.push_back({entry, at, now + 1s});
+        };
+        const double a_step = demand * limit * endpoints / 1000 * 10;
+        for (int step = 0; step < 600; ++step) {
+            now += 10ms;
+            std::erase_if(work, [&](const running& r) {
+                if (r.ends <= now) {
+                    all[r.entry].finish(r.endpoint, work_end::done, 1s, now);
+                }
+                return r.ends <= now;
+            });
+            std::poisson_distribution<int> arrivals(a_step);
+            for (int n = arrivals(random); n > 0; --n) {
+                dispatch::dispatch_request r;
+                r.arrived = now;
+                r.give_up = now + 250ms;
+                all[random() % entries].wait(r);
+            }
+            for (std::size_t i = 0; i < entries; ++i) {
+                all[i].take_expired(now);
+                for (const dispatch::dispatch_grant& g : all[i].take_grants(now)) {
+                    granted(i, g.endpoint);
+                }
+            }
+            if (step % 10 == 0) {
+                for (std::size_t from = 0; from < entries; ++from) {
+                    const std::map<core::endpoint_id, unsigned> load = all[from].own_load();
+                    for (std::size_t to = 0; to < entries; ++to) {
+                        if (to != from) {
+                            all[to].on_peer_load(core::host_id(std::to_string(from)), load, now);
+                        }
+                    }
+                }
+            }
+            std::map<core::endpoint_id, unsigned> at;
+            for (const running& r : work) {
+                o.most = std::max(o.most, ++at[r.endpoint]);
+            }
+            o.used += static_cast<double>(work.size()) / (limit * endpoints) / 600;
+        }
+        return o;
+    }
+};
+
+TEST(crowds, an_overload_does_not_fill_an_endpoint_beyond_its_slots)
+{
+    const outcome o = play(1.5);
+    CHECK_TRUE(o.most <= slots);
+    CHECK_TRUE(o.used > 0.85);
+}
+
+TEST(crowds, a_moderate_load_is_served_at_once_and_evenly)
+{
+    const outcome o = play(0.6);
+    CHECK_TRUE(o.most <= slots);
+    CHECK_TRUE(o.used > 0.5);
+}
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -12,6 +12,7 @@
             executor, dispatch::scheduler(own_domain, true, random()),
             admission::retry_window(bounds.retries, started), 0);
         state->retries.set_sharers(sharers);
+        state->queue.decisions().set_sharers(sharers);
         apply_profile(name, *state);
     }
     return *state;
@@ -59,6 +60,7 @@
     for (const std::pair<const core::service_id, std::unique_ptr<service_state>>& entry :
          services) {
         entry.second->retries.set_sharers(processes);
+        entry.second->queue.decisions().set_sharers(processes);
     }
 }
 
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -52,7 +52,7 @@
     service_state& service(const core::service_id& name);
     /// Gives every service its endpoints, and what the configuration says of it, anew.
     void apply_endpoints();
-    /// Processes that share the retry allowance, this one included.
+    /// Processes that share the endpoints and the retry allowance, this one included.
     void set_sharers(std::size_t processes);
 
     void apply_profile(const core::service_id& name, service_state& state);
