Keep the events of an attempt until they have been sent

An attempt takes an event in before it writes it. When the watch for silence ended the attempt in that moment (a process that had been paused finds the timer and the data ready at once), the task was broken off at the write, but the sequence already counted the event as sent, and the next attempt resumed after it. The same held for whole events before a gap in one piece of data, and the flag of a write under way stayed set, so that later silence was not seen. Ruled out: the stand-in's stream (events are numbered there) and the proxy (it keeps order). Change: what was taken stays in the sequence until it was handed over; flags are set where the write begins. Tests: an attempt that ends before its events were sent, events before a gap.

--- a/src/proxy/eventstream.cpp
+++ b/src/proxy/eventstream.cpp
@@ -54,10 +54,9 @@
     return true;
 }
 
-core::result<std::string> event_sequence::take(std::string_view bytes)
+core::result<void> event_sequence::take(std::string_view bytes)
 {
     buffer_.append(bytes);
-    std::string out;
     std::size_t begin = 0;
     while (true) {
         const std::size_t end = buffer_.find(event_end, begin);
@@ -71,7 +70,7 @@
             return fresh.error();
         }
         if (fresh.value()) {
-            out.append(event);
+            unsent_.append(event);
             ++count_;
         }
         begin = next;
@@ -80,7 +79,7 @@
     if (buffer_.size() > max_event_bytes) {
         return error{errc::too_large, "event without an end"};
     }
-    return out;
+    return core::ok();
 }
 
 } // namespace currantpitch::proxy
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -58,6 +58,16 @@
         dispatch::work_end work = dispatch::work_end::broken;
     };
 
+    /// Marks that a write to the caller is under way. The task may be broken off before the write
+    /// has begun.
+    struct write_mark {
+        explicit write_mark(bool& f) : flag(f) { flag = true; }
+        write_mark(const write_mark&) = delete;
+        write_mark& operator=(const write_mark&) = delete;
+        ~write_mark() { flag = false; }
+        bool& flag;
+    };
+
     bool stream() const { return routes::is_stream(routed_.route->repeat); }
     core::task<core::result<dispatch::work_queue::slot>> take_slot();
     core::task<attempt_end> attempt(const dispatch::work_queue::slot& slot);
@@ -70,7 +80,9 @@
     core::task<attempt_end> relay_stream(http::client_connection& connection, http::response head);
     core::task<std::string_view> watch_silence();
     bool silent_too_long(core::time_point now) const;
-    core::task<bool> send_events(std::string events, const http::response& head);
+    core::task<core::result<void>> begin_answer(const http::response& head);
+    /// Sends the events that were taken and not sent yet, after the answer's head.
+    core::task<bool> send_events(const http::response& head);
     attempt_situation situation(attempt_result result);
     core::task<void> finish_or_deliver_failure(next_step step, attempt_end end);
     core::task<void> finish(next_step step, attempt_end end);
@@ -339,13 +351,12 @@
         if (piece.value().empty()) {
             break;
         }
-        const std::uint64_t before = events_.count();
-        core::result<std::string> fresh = events_.take(piece.value());
-        if (!fresh) {
+        const core::result<void> taken = events_.take(piece.value());
+        if (!taken) {
             end.why = "stream_gap";
             co_return end;
         }
-        if (events_.count() == before) {
+        if (events_.unsent().empty()) {
             continue;
         }
         const core::time_point now = core::runtime_clock::now();
@@ -355,7 +366,7 @@
             service_.pace.observe(now - last_event, routed_.route->target_gap, now);
         }
         last_event = now;
-        if (!co_await send_events(std::move(fresh.value()), head)) {
+        if (!co_await send_events(head)) {
             caller_lost_ = true;
             end.why = "caller_left";
             end.work = dispatch::work_end::abandoned;
@@ -366,7 +377,7 @@
         end.why = "stream_cut";
         co_return end;
     }
-    if (!answer_begun_ && !co_await send_events({}, head)) {
+    if (!co_await send_events(head)) {
         caller_lost_ = true;
     }
     end.result = attempt_result::answered;
@@ -376,26 +387,29 @@
 }
 
 template <proxy_dialect Dialect>
-core::task<bool> request_flow<Dialect>::send_events(std::string events, const http::response& head)
+core::task<core::result<void>> request_flow<Dialect>::begin_answer(const http::response& head)
 {
-    if (!answer_begun_) {
-        answer_begun_ = true;
-        first_byte_ = core::runtime_clock::now() - routed_.arrived;
-        http::response begun;
-        begun.status = head.status;
-        begun.content_type = head.content_type;
-        begun.headers = end_to_end_headers(head.headers);
-        const core::result<void> written = co_await caller_.begin_stream(begun);
-        if (!written) {
-            co_return false;
-        }
+    answer_begun_ = true;
+    first_byte_ = core::runtime_clock::now() - routed_.arrived;
+    http::response begun;
+    begun.status = head.status;
+    begun.content_type = head.content_type;
+    begun.headers = end_to_end_headers(head.headers);
+    co_return co_await caller_.begin_stream(begun);
+}
+
+template <proxy_dialect Dialect>
+core::task<bool> request_flow<Dialect>::send_events(const http::response& head)
+{
+    const write_mark mark(writing_);
+    if (!answer_begun_ && !co_await begin_answer(head)) {
+        co_return false;
     }
-    if (events.empty()) {
+    if (events_.unsent().empty()) {
         co_return true;
     }
-    writing_ = true;
-    const core::result<void> written = co_await caller_.write_chunk(std::move(events));
-    writing_ = false;
+    const core::result<void> written = co_await caller_.write_chunk(events_.unsent());
+    events_.on_sent();
     co_return written.has_value();
 }
 
--- a/src/proxy/tests/tst_eventstream.cpp
+++ b/src/proxy/tests/tst_eventstream.cpp
@@ -24,7 +24,16 @@
 
 } // namespace
 
-TEST_GROUP(event_sequences){};
+TEST_GROUP(event_sequences){
+    /// What comes out for some bytes.
+    static std::string taken(proxy::event_sequence & s,
+                             std::string_view bytes){CHECK(s.take(bytes).has_value());
+std::string out = s.unsent();
+s.on_sent();
+return out;
+}
+}
+;
 
 TEST(event_sequences, ids_are_read)
 {
@@ -38,22 +47,39 @@
 {
     proxy::event_sequence s(std::nullopt);
     const std::string text = event(0);
-    CHECK(s.take(text.substr(0, 9)).value().empty());
+    CHECK(taken(s, text.substr(0, 9)).empty());
     CHECK(!s.at_boundary());
-    CHECK(s.take(text.substr(9)).value() == text);
+    CHECK(taken(s, text.substr(9)) == text);
     CHECK(s.at_boundary());
 }
 
 TEST(event_sequences, resumed_attempt_repeats_nothing)
 {
     proxy::event_sequence s(std::nullopt);
-    CHECK(s.take(events(0, 3) + "id: 4\nda").has_value());
+    CHECK(taken(s, events(0, 3) + "id: 4\nda") == events(0, 3));
     s.begin_attempt();
-    CHECK(s.take(events(2, 5)).value() == events(4, 5));
+    CHECK(taken(s, events(2, 5)) == events(4, 5));
     CHECK(s.last() == 5);
     CHECK(s.count() == 6);
 }
 
+TEST(event_sequences, an_attempt_that_ends_before_its_events_were_sent_loses_none)
+{
+    proxy::event_sequence s(std::nullopt);
+    CHECK(s.take(events(0, 3)).has_value());
+    s.begin_attempt();
+    CHECK(taken(s, events(4, 5)) == events(0, 5));
+}
+
+TEST(event_sequences, events_before_a_gap_are_kept)
+{
+    proxy::event_sequence s(std::nullopt);
+    CHECK(!s.take(events(0, 3) + event(5)).has_value());
+    CHECK(s.last() == 3);
+    s.begin_attempt();
+    CHECK(taken(s, events(4, 5)) == events(0, 5));
+}
+
 TEST(event_sequences, gap_breaks_the_attempt)
 {
     proxy::event_sequence s(std::nullopt);
@@ -80,14 +106,14 @@
             std::string rest = events(s.last() ? *s.last() + 1 : 0, last);
             rest.resize(cut % (rest.size() + 1));
             const std::size_t middle = rest.size() / 2;
-            out += s.take(rest.substr(0, middle)).value();
-            out += s.take(rest.substr(middle)).value();
+            out += taken(s, rest.substr(0, middle));
+            out += taken(s, rest.substr(middle));
             s.begin_attempt();
         };
         for (const std::size_t cut : cuts) {
             attempt(cut);
         }
-        out += s.take(events(s.last() ? *s.last() + 1 : 0, last)).value();
+        out += taken(s, events(s.last() ? *s.last() + 1 : 0, last));
         RC_ASSERT(out == events(0, last));
     });
 }
