Plan from fresh counts, and spare the leader's link

Each rank sent its counts of the last 0.8 s, so that a shift showed in the sums only slowly (skew 1.6 where it was 3); after each switch every rank sent its whole list of experts, 315 KB on the leader's link of 1 MB/s, which the leader knows as it planned them; and while engines copy each rank told the leader of itself every 40 ms. Change: counts of the last look only; lists only where the layout is of another term, or after 3 s; statuses at once when something changed and else each 120 ms, to candidates that do not lead each 500 ms.

--- /dev/null
+++ b/src/rankcontrol/candidateside.h
@@ -0,0 +1,249 @@
+#pragma once
+
+#include "core/counters.h"
+#include "expertmaps/fenceclaim.h"
+#include "rankcontrol/groupleader.h"
+#include "rankcontrol/memberside.h"
+
+namespace currantpitch::rankcontrol {
+
+/// An agent as a candidate for the leadership of its group: serves the members that connect, and
+/// leads the group while no earlier candidate lives.
+template <class Store, rank_port Port>
+class candidate_side {
+public:
+    candidate_side(agent_context& context, Store& store, engine_watch<Port>& engine,
+                   member_side<Port>& member, std::uint64_t nonce)
+        : context_(context), store_(store), engine_(engine), member_(member), nonce_(nonce)
+    {
+    }
+
+    core::task<void> serve_member(std::shared_ptr<wire::framed_connection> connection);
+    /// Learns the highest term, then leads whenever it is this agent's turn.
+    core::task<void> run();
+    bool leads() const { return leader_ != nullptr; }
+
+private:
+    struct session {
+        std::shared_ptr<wire::framed_connection> connection;
+        std::optional<std::uint32_t> rank;
+    };
+
+    core::task<void> read(std::shared_ptr<session> s);
+    core::task<void> tell_claims(std::shared_ptr<session> s);
+    core::task<void> learn_fence();
+    core::task<void> claim();
+    void begin_leading(term own, const layout_shape& shape);
+    void tick();
+    void send(std::vector<addressed_order> orders);
+    core::task<void> carry_out_locally(addressed_order order);
+
+    agent_context& context_;
+    Store& store_;
+    engine_watch<Port>& engine_;
+    member_side<Port>& member_;
+    std::uint64_t nonce_;
+    std::vector<std::shared_ptr<session>> sessions_;
+    std::unique_ptr<group_leader> leader_;
+    std::uint64_t last_order_ = 0;
+};
+
+template <class Store, rank_port Port>
+core::task<void>
+candidate_side<Store, Port>::serve_member(std::shared_ptr<wire::framed_connection> connection)
+{
+    using namespace core::asio::experimental::awaitable_operators;
+    const core::result<std::string> first = co_await core::with_deadline(
+        connection->receive(), core::runtime_clock::now() + candidate_silence);
+    const core::result<member_hello> hello = first ? wire::decode<member_hello>(first.value())
+                                                   : core::result<member_hello>(first.error());
+    if (!hello || hello.value().service != context_.settings.service) {
+        core::log_event("member_refused", core::log_event::level::warning)
+            .field("reason", hello ? "another service" : hello.error().detail);
+        co_return;
+    }
+    core::log_event("member_up").field("member", hello.value().host);
+    const std::shared_ptr<session> s = std::make_shared<session>();
+    s->connection = connection;
+    sessions_.push_back(s);
+    co_await (read(s) || connection->write_loop() || tell_claims(s));
+    connection->close();
+    std::erase(sessions_, s);
+    core::log_event("member_down").field("member", hello.value().host);
+    if (leader_ && s->rank) {
+        leader_->on_lost(*s->rank);
+    }
+}
+
+template <class Store, rank_port Port>
+core::task<void> candidate_side<Store, Port>::read(std::shared_ptr<session> s)
+{
+    while (!s->connection->closed()) {
+        const core::result<std::string> frame = co_await core::with_deadline(
+            s->connection->receive(), core::runtime_clock::now() + candidate_silence);
+        if (!frame) {
+            co_return;
+        }
+        const core::time_point now = core::runtime_clock::now();
+        const core::result<rank_status> status = wire::decode<rank_status>(frame.value());
+        const core::result<rank_answer> answer = status ? core::result<rank_answer>(core::error{})
+                                                        : wire::decode<rank_answer>(frame.value());
+        if (status) {
+            s->rank = status.value().state.rank;
+        }
+        if (leader_ && status) {
+            leader_->on_status(status.value(), now);
+        }
+        if (leader_ && answer && s->rank) {
+            leader_->on_answer(*s->rank, answer.value(), now);
+        }
+        // An idle leader's regular work is enough.
+        if (leader_ && leader_->progress().phase() != switch_phase::idle) {
+            tick();
+        }
+    }
+}
+
+template <class Store, rank_port Port>
+core::task<void> candidate_side<Store, Port>::tell_claims(std::shared_ptr<session> s)
+{
+    while (!s->connection->closed()) {
+        s->connection->send(wire::encode(leader_claim{leader_ ? leader_->own_term() : term{}}));
+        co_await core::sleep_for(claim_interval);
+    }
+}
+
+template <class Store, rank_port Port>
+core::task<void> candidate_side<Store, Port>::learn_fence()
+{
+    while (!context_.fence_known) {
+        const core::result<core::fence> fence =
+            co_await expertmaps::read_fence(store_, context_.settings.service);
+        if (fence) {
+            context_.fence_known = true;
+            context_.promise(term{fence.value().value}, "store");
+            co_return;
+        }
+        core::log_event("fence_unknown", core::log_event::level::warning)
+            .field("reason", fence.error().detail);
+        co_await core::sleep_for(claim_pause);
+    }
+}
+
+template <class Store, rank_port Port>
+core::task<void> candidate_side<Store, Port>::run()
+{
+    co_await learn_fence();
+    while (!context_.stopping) {
+        co_await core::sleep_for(leader_tick);
+        const std::optional<layout_shape> wanted = engine_.shape();
+        const bool others_turn = member_.earlier_candidate_lives();
+        const bool ends =
+            leader_ && (leader_->deposed() || others_turn || wanted != leader_->shape());
+        if (ends) {
+            core::log_event("group_leadership_ends")
+                .field("term", leader_->own_term())
+                .field("deposed", leader_->deposed());
+            leader_.reset();
+        }
+        if (!leader_ && wanted && !others_turn) {
+            co_await claim();
+        }
+        if (leader_) {
+            tick();
+        }
+    }
+}
+
+template <class Store, rank_port Port>
+core::task<void> candidate_side<Store, Port>::claim()
+{
+    const core::result<core::fence> fence =
+        co_await expertmaps::claim_fence(store_, context_.settings.service, nonce_);
+    if (!fence) {
+        // Without a leader the layout stays as it is, and serving goes on.
+        core::log_event("group_claim_failed", core::log_event::level::warning)
+            .field("error", core::to_string(fence.error().code))
+            .field("reason", fence.error().detail);
+        co_await core::sleep_for(claim_pause);
+        co_return;
+    }
+    const std::optional<layout_shape> wanted = engine_.shape();
+    if (wanted) {
+        begin_leading(term{fence.value().value}, *wanted);
+    }
+}
+
+template <class Store, rank_port Port>
+void candidate_side<Store, Port>::begin_leading(term own, const layout_shape& shape)
+{
+    const routes::engine_profile& profile = *context_.profile;
+    planner_costs costs;
+    costs.expert_work_share = profile.expert_work_share;
+    if (profile.link_megabits_per_second > 0) {
+        costs.copy_time = std::chrono::duration<double>(profile.expert_megabytes * 8 /
+                                                        profile.link_megabits_per_second);
+    }
+    context_.promise(own, "self");
+    context_.leader = context_.settings.peer_address;
+    leader_ = std::make_unique<group_leader>(own, engine_.state()->rank, shape, costs);
+    core::counter_for("group_leaderships_total").add();
+    for (const std::shared_ptr<session>& s : sessions_) {
+        s->connection->send(wire::encode(leader_claim{own}));
+    }
+}
+
+template <class Store, rank_port Port>
+void candidate_side<Store, Port>::tick()
+{
+    const core::time_point now = core::runtime_clock::now();
+    if (engine_.state() && context_.promised == leader_->own_term()) {
+        leader_->on_status(engine_.status_for_leader(true), now);
+    }
+    send(leader_->tick(now));
+}
+
+template <class Store, rank_port Port>
+void candidate_side<Store, Port>::send(std::vector<addressed_order> orders)
+{
+    // Every rank gets the same layout.
+    std::string layout_bytes;
+    for (addressed_order& o : orders) {
+        if (engine_.state() && o.rank == engine_.state()->rank) {
+            core::spawn(context_.executor, carry_out_locally(std::move(o)));
+            continue;
+        }
+        for (const std::shared_ptr<session>& s : sessions_) {
+            if (s->rank == o.rank) {
+                rank_order message{++last_order_, leader_->own_term(), {}, {}};
+                if (o.order.kind == order_kind::load) {
+                    if (layout_bytes.empty()) {
+                        layout_bytes = to_compact(o.order.experts);
+                    }
+                    message.experts = layout_bytes;
+                }
+                message.order = std::move(o.order);
+                s->connection->send(wire::encode(message));
+                break;
+            }
+        }
+    }
+}
+
+template <class Store, rank_port Port>
+core::task<void> candidate_side<Store, Port>::carry_out_locally(addressed_order order)
+{
+    const term under = leader_ ? leader_->own_term() : term{};
+    const executed_order done = co_await engine_.execute(std::move(order.order));
+    if (!leader_ || leader_->own_term() != under || context_.promised != under ||
+        !engine_.state()) {
+        co_return;
+    }
+    rank_answer answer;
+    answer.result = done.result;
+    answer.status = engine_.own_status();
+    leader_->on_answer(order.rank, answer, core::runtime_clock::now());
+    tick();
+}
+
+} // namespace currantpitch::rankcontrol
--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -6,13 +6,6 @@
 
 namespace currantpitch::rankcontrol {
 
-namespace {
-
-/// Versions of one term.
-constexpr std::uint64_t versions_per_term = 1'000'000;
-
-} // namespace
-
 std::string_view to_string(switch_phase p)
 {
     switch (p) {
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -22,6 +22,11 @@
 /// Interval at which an agent looks at its engine, and while the engine copies experts.
 inline constexpr std::chrono::milliseconds status_interval{120};
 inline constexpr std::chrono::milliseconds loading_status_interval{40};
+/// Interval at which a candidate that does not lead is told of a member's engine: twice within the
+/// silence after which it would count the member as gone.
+inline constexpr std::chrono::milliseconds candidate_status_interval{500};
+/// Time after which a layout of the leader's own term is listed to it all the same.
+inline constexpr std::chrono::milliseconds held_told_after{3000};
 /// Bytes of counts that all members together send to the leader, whose host may have a link of
 /// 1 MB/s that its engine needs too.
 inline constexpr double counts_bytes_per_second = 160'000;
--- a/src/rankcontrol/rankstate.cpp
+++ b/src/rankcontrol/rankstate.cpp
@@ -28,6 +28,13 @@
     return layout(shape.layers, layer);
 }
 
+bool differs(const rank_state& a, const rank_state& b)
+{
+    return a.rank != b.rank || a.group_size != b.group_size || a.epoch != b.epoch ||
+           a.open != b.open || a.incarnation != b.incarnation || a.active != b.active ||
+           a.loaded != b.loaded || a.armed != b.armed || a.held != b.held;
+}
+
 bool fulfilled(const engine_order& order, const rank_state& state)
 {
     if (state.epoch != order.epoch) {
--- a/src/rankcontrol/rankstate.h
+++ b/src/rankcontrol/rankstate.h
@@ -64,6 +64,17 @@
     double slowness = 1;
 };
 
+/// Whether anything but the step and the slowness differs.
+bool differs(const rank_state& a, const rank_state& b);
+
+/// Versions of one leadership: its term counts in their upper part.
+inline constexpr std::uint64_t versions_per_term = 1'000'000;
+/// The leadership that made a version; zero for the layout that a group starts with.
+constexpr term term_of(core::map_version v)
+{
+    return term{v.value / versions_per_term};
+}
+
 enum class order_kind : std::uint8_t {
     load,    ///< copy the experts of a layout
     arm,     ///< begin the layout at a step
