--- /dev/null
+++ b/tests/soak/faultproxy.cpp
@@ -0,0 +1,148 @@
+#include "soak/faultproxy.h"
+
+#include "core/timer.h"
+#include "wire/framedconnection.h"
+
+#include <array>
+#include <stdexcept>
+
+namespace currantpitch::soak {
+
+namespace asio = core::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Bytes that are read at once; a cut link holds about as many back.
+constexpr std::size_t piece_bytes = 16 * 1024;
+/// Pause after a failed accept.
+constexpr std::chrono::milliseconds accept_pause{20};
+
+} // namespace
+
+fault_proxy::fault_proxy(const asio::any_io_executor& executor, asio::ip::tcp::endpoint listen,
+                         asio::ip::tcp::endpoint target)
+    : executor_(executor), acceptor_(executor), target_(std::move(target)), changed_(executor)
+{
+    const core::result<void> open = wire::open_listener(acceptor_, listen);
+    if (!open) {
+        throw std::runtime_error("proxy cannot listen: " + open.error().detail);
+    }
+}
+
+core::task<void> fault_proxy::run()
+{
+    while (acceptor_.is_open()) {
+        error_code failure;
+        const std::shared_ptr<link> l = std::make_shared<link>(executor_);
+        co_await acceptor_.async_accept(l->client,
+                                        asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+            co_await core::sleep_for(accept_pause);
+            continue;
+        }
+        if (faults_.refuses) {
+            reset(*l);
+            continue;
+        }
+        core::spawn(executor_, pass_on(l));
+    }
+}
+
+core::task<void> fault_proxy::pass_on(std::shared_ptr<link> l)
+{
+    using namespace asio::experimental::awaitable_operators;
+    error_code failure;
+    co_await l->server.async_connect(target_, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        reset(*l);
+        co_return;
+    }
+    l->client.set_option(asio::ip::tcp::no_delay(true), failure);
+    l->server.set_option(asio::ip::tcp::no_delay(true), failure);
+    links_.push_back(l);
+    co_await (pump(l, direction::up) && pump(l, direction::down));
+    links_.remove(l);
+    l->client.close(failure);
+    l->server.close(failure);
+}
+
+bool fault_proxy::blocked(const link& l, direction d) const
+{
+    return l.silent || (d == direction::up ? faults_.cut_up : faults_.cut_down);
+}
+
+core::task<void> fault_proxy::pump(std::shared_ptr<link> l, direction d)
+{
+    asio::ip::tcp::socket& from = d == direction::up ? l->client : l->server;
+    asio::ip::tcp::socket& to = d == direction::up ? l->server : l->client;
+    std::array<char, piece_bytes> piece{};
+    while (true) {
+        error_code failure;
+        const std::size_t size = co_await from.async_read_some(
+            asio::buffer(piece), asio::redirect_error(asio::use_awaitable, failure));
+        if (faults_.delay.count() > 0) {
+            co_await core::sleep_for(faults_.delay);
+        }
+        while (blocked(*l, d)) {
+            co_await changed_.wait();
+        }
+        if (failure == asio::error::eof) {
+            to.shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+            co_return;
+        }
+        if (!failure) {
+            co_await asio::async_write(to, asio::buffer(piece.data(), size),
+                                       asio::redirect_error(asio::use_awaitable, failure));
+        }
+        if (failure) {
+            reset(*l);
+            co_return;
+        }
+    }
+}
+
+void fault_proxy::set(const link_faults& faults)
+{
+    faults_ = faults;
+    changed_.notify();
+}
+
+void fault_proxy::reset(link& l)
+{
+    // Closing with a zero linger time resets the connection.
+    error_code ignored;
+    l.client.set_option(asio::socket_base::linger(true, 0), ignored);
+    l.server.set_option(asio::socket_base::linger(true, 0), ignored);
+    l.client.close(ignored);
+    l.server.close(ignored);
+}
+
+void fault_proxy::reset_all()
+{
+    for (const std::shared_ptr<link>& l : links_) {
+        reset(*l);
+        l->silent = false;
+    }
+    changed_.notify();
+}
+
+void fault_proxy::silence_all()
+{
+    for (const std::shared_ptr<link>& l : links_) {
+        l->silent = true;
+    }
+}
+
+void fault_proxy::inject_all(const std::string& bytes)
+{
+    for (const std::shared_ptr<link>& l : links_) {
+        error_code failure;
+        l->client.write_some(asio::buffer(bytes), failure);
+        if (failure) {
+            reset(*l);
+        }
+    }
+}
+
+} // namespace currantpitch::soak
