Give a slow rank less of the experts' load

Change: a rank's load counts as many times as the rank is slower than usual. Test: a rank that is three times slower gets so little that the skew falls from 3 below 2.

--- a/src/rankcontrol/evenplanner.cpp
+++ b/src/rankcontrol/evenplanner.cpp
@@ -15,14 +15,20 @@
 /// Least net gain of a switch, in time of the group's passes.
 constexpr std::chrono::duration<double> least_net_gain{0.13};
 
+double slowness_of(const std::vector<double>& slowness, std::size_t rank)
+{
+    return slowness.empty() ? 1.0 : slowness[rank];
+}
+
 /// One layer under change: who holds what, and the ranks' loads.
 class layer_search {
 public:
     /// The budget is what each rank may still copy, over all layers.
     layer_search(const layer_layout& present, const std::vector<double>& shares,
-                 const layout_shape& shape, std::vector<std::size_t>& budget)
-        : present_(present), layer_(present), shares_(shares), shape_(shape), budget_(budget),
-          holders_(shape.experts), loads_(present.size()), news_(present.size())
+                 const std::vector<double>& slowness, const layout_shape& shape,
+                 std::vector<std::size_t>& budget)
+        : present_(present), layer_(present), shares_(shares), slowness_(slowness), shape_(shape),
+          budget_(budget), holders_(shape.experts), loads_(present.size()), news_(present.size())
     {
         for (std::size_t r = 0; r < layer_.size(); ++r) {
             for (const expert e : layer_[r]) {
@@ -31,7 +37,7 @@
         }
         for (std::size_t r = 0; r < layer_.size(); ++r) {
             for (const expert e : layer_[r]) {
-                loads_[r] += part(e);
+                loads_[r] += part(e) * slowness_of(slowness_, r);
             }
         }
     }
@@ -93,22 +99,25 @@
     double worst_after(std::size_t busiest, const move& m) const
     {
         const double copies = static_cast<double>(holders_[m.spread].size());
+        const double slow_busiest = slowness_of(slowness_, busiest);
+        const double slow_target = slowness_of(slowness_, m.target);
         if (m.trade) {
-            const double given = shares_[m.spread] / copies;
-            const double got = part(*m.victim);
-            return std::max(loads_[busiest] - given + got, loads_[m.target] + given - got);
+            const double change = shares_[m.spread] / copies - part(*m.victim);
+            return std::max(loads_[busiest] - change * slow_busiest,
+                            loads_[m.target] + change * slow_target);
         }
-        const double given = shares_[m.spread] / copies - shares_[m.spread] / (copies + 1);
-        double target = loads_[m.target] + shares_[m.spread] / (copies + 1);
+        const double given =
+            (shares_[m.spread] / copies - shares_[m.spread] / (copies + 1)) * slow_busiest;
+        double target = loads_[m.target] + shares_[m.spread] / (copies + 1) * slow_target;
         double worst = loads_[busiest] - given;
         if (m.victim) {
             const double others = static_cast<double>(holders_[*m.victim].size());
-            target -= shares_[*m.victim] / others;
+            target -= shares_[*m.victim] / others * slow_target;
             const double more = shares_[*m.victim] / (others - 1) - shares_[*m.victim] / others;
             for (const std::size_t holder : holders_[*m.victim]) {
                 if (holder != m.target) {
                     const double own = holder == busiest ? loads_[holder] - given : loads_[holder];
-                    worst = std::max(worst, own + more);
+                    worst = std::max(worst, own + more * slowness_of(slowness_, holder));
                 }
             }
         }
@@ -157,12 +166,12 @@
     void remove(std::size_t rank, expert e)
     {
         for (const std::size_t holder : holders_[e]) {
-            loads_[holder] -= part(e);
+            loads_[holder] -= part(e) * slowness_of(slowness_, holder);
         }
         std::erase(holders_[e], rank);
         std::erase(layer_[rank], e);
         for (const std::size_t holder : holders_[e]) {
-            loads_[holder] += part(e);
+            loads_[holder] += part(e) * slowness_of(slowness_, holder);
         }
         if (is_new(rank, e)) {
             --news_[rank];
@@ -173,12 +182,12 @@
     void add(std::size_t rank, expert e)
     {
         for (const std::size_t holder : holders_[e]) {
-            loads_[holder] -= part(e);
+            loads_[holder] -= part(e) * slowness_of(slowness_, holder);
         }
         holders_[e].push_back(rank);
         layer_[rank].push_back(e);
         for (const std::size_t holder : holders_[e]) {
-            loads_[holder] += part(e);
+            loads_[holder] += part(e) * slowness_of(slowness_, holder);
         }
         if (is_new(rank, e)) {
             ++news_[rank];
@@ -201,6 +210,7 @@
     const layer_layout& present_;
     layer_layout layer_;
     const std::vector<double>& shares_;
+    const std::vector<double>& slowness_;
     const layout_shape& shape_;
     std::vector<std::size_t>& budget_;
     std::vector<std::vector<std::size_t>> holders_;
@@ -225,7 +235,8 @@
 
 } // namespace
 
-double layer_skew(const layer_layout& layer, const std::vector<double>& shares)
+double layer_skew(const layer_layout& layer, const std::vector<double>& shares,
+                  const std::vector<double>& slowness)
 {
     std::vector<double> copies(shares.size());
     for (const std::vector<expert>& held : layer) {
@@ -235,34 +246,36 @@
     }
     double total = 0;
     double most = 0;
-    for (const std::vector<expert>& held : layer) {
+    for (std::size_t rank = 0; rank < layer.size(); ++rank) {
         double load = 0;
-        for (const expert e : held) {
+        for (const expert e : layer[rank]) {
             load += shares[e] / copies[e];
         }
         total += load;
-        most = std::max(most, load);
+        most = std::max(most, load * slowness_of(slowness, rank));
     }
     return total <= 0 ? 1.0 : most * static_cast<double>(layer.size()) / total;
 }
 
-double layout_skew(const layout& experts, const expert_counts& shares)
+double layout_skew(const layout& experts, const expert_counts& shares,
+                   const std::vector<double>& slowness)
 {
     double total = 0;
     for (std::size_t layer = 0; layer < experts.size(); ++layer) {
-        total += layer_skew(experts[layer], shares[layer]);
+        total += layer_skew(experts[layer], shares[layer], slowness);
     }
     return experts.empty() ? 1.0 : total / static_cast<double>(experts.size());
 }
 
-layout improve_layout(const layout& present, const expert_counts& shares, const layout_shape& shape,
+layout improve_layout(const layout& present, const expert_counts& shares,
+                      const std::vector<double>& slowness, const layout_shape& shape,
                       std::size_t copies_per_rank)
 {
     std::vector<std::size_t> budget(shape.ranks, copies_per_rank);
     std::vector<layer_search> layers;
     layers.reserve(present.size());
     for (std::size_t layer = 0; layer < present.size(); ++layer) {
-        layers.emplace_back(present[layer], shares[layer], shape, budget);
+        layers.emplace_back(present[layer], shares[layer], slowness, shape, budget);
     }
     // The layer with the busiest rank comes first. Each move lowers a busiest rank; the bound only
     // guards against endless trading.
@@ -290,10 +303,11 @@
 }
 
 std::optional<even_plan> plan_layout(const layout& present, const expert_counts& shares,
-                                     const layout_shape& shape, const planner_costs& costs)
+                                     const std::vector<double>& slowness, const layout_shape& shape,
+                                     const planner_costs& costs)
 {
     using seconds = std::chrono::duration<double>;
-    const double before = layout_skew(present, shares);
+    const double before = layout_skew(present, shares, slowness);
     const auto saved_by = [&costs, before](double skew) {
         const double share = costs.expert_work_share;
         return 1 - (1 - share + share * skew) / (1 - share + share * before);
@@ -306,8 +320,8 @@
     for (std::size_t copies = 1; copies <= most_copies; copies = copies < 2 ? 2 : copies * 2) {
         even_plan plan;
         plan.skew_before = before;
-        plan.experts = improve_layout(present, shares, shape, copies);
-        plan.skew_after = layout_skew(plan.experts, shares);
+        plan.experts = improve_layout(present, shares, slowness, shape, copies);
+        plan.skew_after = layout_skew(plan.experts, shares, slowness);
         plan.most_copies = most_new_on_a_rank(present, plan.experts);
         plans.push_back(std::move(plan));
     }
--- a/src/rankcontrol/evenplanner.h
+++ b/src/rankcontrol/evenplanner.h
@@ -35,19 +35,24 @@
 };
 
 /// Load of the busiest rank over that of the mean rank; copies of an expert share its tokens
-/// evenly. 1 when there is no load.
-double layer_skew(const layer_layout& layer, const std::vector<double>& shares);
+/// evenly. 1 when there is no load. A rank's load counts as many times as the rank is slower than
+/// usual; none is when the list is empty.
+double layer_skew(const layer_layout& layer, const std::vector<double>& shares,
+                  const std::vector<double>& slowness = {});
 /// Mean of the layers' skews.
-double layout_skew(const layout& experts, const expert_counts& shares);
+double layout_skew(const layout& experts, const expert_counts& shares,
+                   const std::vector<double>& slowness = {});
 
 /// Improves the layers by moves of single copies, the layer with the busiest rank first, with at
 /// most so many new experts on each rank over all layers.
-layout improve_layout(const layout& present, const expert_counts& shares, const layout_shape& shape,
+layout improve_layout(const layout& present, const expert_counts& shares,
+                      const std::vector<double>& slowness, const layout_shape& shape,
                       std::size_t copies_per_rank);
 
 /// The best of the layouts that bring one, two, four and so on new experts to each rank, given that
 /// the rest of the way can follow in a second switch; nothing when none is worth its cost.
 std::optional<even_plan> plan_layout(const layout& present, const expert_counts& shares,
-                                     const layout_shape& shape, const planner_costs& costs);
+                                     const std::vector<double>& slowness, const layout_shape& shape,
+                                     const planner_costs& costs);
 
 } // namespace currantpitch::rankcontrol
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -126,13 +126,16 @@
     if (!able) {
         return;
     }
-    std::optional<even_plan> next = plan_layout(*present_, demand_.shares(), shape_, costs_);
+    const std::vector<double> slowness = switch_.slowness();
+    std::optional<even_plan> next =
+        plan_layout(*present_, demand_.shares(), slowness, shape_, costs_);
     core::log_event("placement")
         .field("term", own_)
         .field("running", switch_.running())
         .field("tokens", demand_.last_tokens())
         .field("distance", demand_.last_distance())
-        .field("skew", layout_skew(*present_, demand_.shares()))
+        .field("slowest", *std::max_element(slowness.begin(), slowness.end()))
+        .field("skew", layout_skew(*present_, demand_.shares(), slowness))
         .field("planned_skew", next ? next->skew_after : 0.0)
         .field("most_copies", next ? next->most_copies : 0)
         .field("net_gain_s", next ? next->net_gain.count() : 0.0);
--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -38,6 +38,15 @@
     return core::map_version{own_.value * versions_per_term + counted_};
 }
 
+std::vector<double> layout_switch::slowness() const
+{
+    std::vector<double> all;
+    for (const rank_view& v : ranks_) {
+        all.push_back(v.state ? std::max(v.state->slowness, 1.0) : 1.0);
+    }
+    return all;
+}
+
 bool layout_switch::complete() const
 {
     return std::all_of(ranks_.begin(), ranks_.end(),
--- a/src/rankcontrol/layoutswitch.h
+++ b/src/rankcontrol/layoutswitch.h
@@ -63,6 +63,8 @@
     /// Epoch and version that all ranks report; nothing while they differ.
     std::optional<std::pair<group_epoch, core::map_version>> observed() const;
     std::optional<group_epoch> epoch() const { return epoch_; }
+    /// How much slower than usual each rank is; 1 where it is not known.
+    std::vector<double> slowness() const;
     bool complete() const;
 
 private:
--- a/src/rankcontrol/tests/tst_evenplanner.cpp
+++ b/src/rankcontrol/tests/tst_evenplanner.cpp
@@ -63,7 +63,7 @@
 {
     const layout first = initial_layout(shape);
     const expert_counts shares(2, skewed_shares(72, 1.1, 3));
-    const std::optional<even_plan> plan = plan_layout(first, shares, shape, planner_costs{});
+    const std::optional<even_plan> plan = plan_layout(first, shares, {}, shape, planner_costs{});
     CHECK(plan.has_value());
     CHECK(plan->skew_before > 2);
     // A first step; the rest follows.
@@ -76,11 +76,11 @@
     layout present = initial_layout(shape);
     const expert_counts shares(2, skewed_shares(72, 1.1, 3));
     int steps = 0;
-    std::optional<even_plan> plan = plan_layout(present, shares, shape, planner_costs{});
+    std::optional<even_plan> plan = plan_layout(present, shares, {}, shape, planner_costs{});
     while (plan && steps < 10) {
         present = plan->experts;
         ++steps;
-        plan = plan_layout(present, shares, shape, planner_costs{});
+        plan = plan_layout(present, shares, {}, shape, planner_costs{});
     }
     CHECK(layout_skew(present, shares) < 1.15);
     CHECK(steps <= 4);
@@ -90,11 +90,11 @@
 {
     const layout first = initial_layout(shape);
     const expert_counts even(2, std::vector<double>(72, 1.0 / 72));
-    CHECK(!plan_layout(first, even, shape, planner_costs{}).has_value());
+    CHECK(!plan_layout(first, even, {}, shape, planner_costs{}).has_value());
     planner_costs slow;
     slow.copy_time = std::chrono::duration<double>(10);
     const expert_counts shares(2, skewed_shares(72, 1.1, 3));
-    CHECK(!plan_layout(first, shares, shape, slow).has_value());
+    CHECK(!plan_layout(first, shares, {}, shape, slow).has_value());
 }
 
 TEST(even_planner, layouts_keep_the_rules_of_the_engines)
@@ -108,7 +108,7 @@
             const std::size_t limit = *rc::gen::inRange<std::size_t>(1, 7);
             const expert_counts shares{skewed_shares(72, power, seed + round),
                                        skewed_shares(72, power, seed + 100 + round)};
-            const layout next = improve_layout(present, shares, shape, limit);
+            const layout next = improve_layout(present, shares, {}, shape, limit);
             std::vector<std::size_t> copies(shape.ranks);
             for (std::size_t l = 0; l < next.size(); ++l) {
                 std::set<expert> held;
@@ -129,3 +129,19 @@
         }
     });
 }
+
+TEST(even_planner, a_slow_rank_gets_less)
+{
+    const layout_shape shape{6, 1, 24, 6, 2};
+    const expert_counts even{std::vector<double>(24, 1.0 / 24)};
+    std::vector<double> slowness(6, 1.0);
+    slowness[2] = 3;
+    layout present = initial_layout(shape);
+    DOUBLES_EQUAL(3.0, layout_skew(present, even, slowness), 1e-9);
+    std::optional<even_plan> plan = plan_layout(present, even, slowness, shape, planner_costs{});
+    for (int i = 0; i < 4 && plan; ++i) {
+        present = plan->experts;
+        plan = plan_layout(present, even, slowness, shape, planner_costs{});
+    }
+    CHECK(layout_skew(present, even, slowness) < 2.0);
+}
