--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "objectstore/kindfeed.h"
+#include "objectstore/kindpoll.h"
 
 #include <chrono>
 #include <cstddef>
@@ -11,10 +11,19 @@
 /// when its call returns, so that this bounds the age of the keys.
 inline constexpr objectstore::feed_pace configuration_pace{
     std::chrono::milliseconds(1400), std::chrono::milliseconds(0), std::chrono::milliseconds(500)};
-/// Endpoints and hosts need no proof; their changes come in crowds at starts.
+/// Endpoints need no proof; their changes come in crowds at starts.
 inline constexpr objectstore::feed_pace membership_pace{std::chrono::milliseconds(8000),
                                                         std::chrono::milliseconds(350),
                                                         std::chrono::milliseconds(900)};
+/// The other entries' hosts may be known some seconds late: those that live report themselves.
+inline constexpr objectstore::poll_pace host_pace{std::chrono::milliseconds(3000),
+                                                  std::chrono::milliseconds(1000),
+                                                  std::chrono::milliseconds(12000)};
+/// Time after which an own registration must have been listed, or is written again; old listings
+/// are a few seconds old.
+inline constexpr std::chrono::seconds registration_seen_after{10};
+/// Interval at which a missing registration is noticed.
+inline constexpr std::chrono::seconds registration_pause{2};
 /// Lifetime of an address answer. Short, so that callers have left an entry that stops within
 /// three lifetimes, which is how long some of them keep an answer.
 inline constexpr std::chrono::seconds address_lifetime{1};
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -5,7 +5,7 @@
 #include "gateway/metricsfront.h"
 #include "intents/hostregistration.h"
 #include "membership/peerhub.h"
-#include "objectstore/kindfeed.h"
+#include "objectstore/kindpoll.h"
 #include "proxy/callerfront.h"
 #include "settings/nodesettings.h"
 #include "wire/packer.h"
@@ -70,7 +70,7 @@
     host_sink host_sink_;
     objectstore::kind_feed<typename Site::store, configuration_sink<Site>> configuration_feed_;
     objectstore::kind_feed<typename Site::store, endpoint_sink<Site>> endpoint_feed_;
-    objectstore::kind_feed<typename Site::store, host_sink> host_feed_;
+    objectstore::kind_poll<typename Site::store, host_sink> host_feed_;
     proxy::caller_front<typename Site::dialect> callers_;
     directory_front directory_{*this};
     readiness_front readiness_{*this};
@@ -109,7 +109,7 @@
                           configuration_pace, seed + 1),
       endpoint_feed_(store_, Site::endpoint_kind(), endpoint_sink_, membership_pace, seed + 2),
       host_feed_(store_, std::string(intents::to_string(intents::resource_kind::host)), host_sink_,
-                 membership_pace, seed + 3),
+                 host_pace, seed + 3),
       callers_(context_), caller_listener_(executor), directory_listener_(executor),
       readiness_listener_(executor), metrics_listener_(executor), peer_listener_(executor),
       stop_(executor)
@@ -350,13 +350,17 @@
         const intents::host_spec* const own = roster_.own();
         if (own == nullptr || own->incarnation != incarnation_) {
             const core::result<void> done = co_await register_self(intents::host_state::live);
-            if (!done) {
+            if (done) {
+                // What is listed lags behind.
+                co_await core::sleep_for(registration_seen_after);
+            }
+            else {
                 core::log_event("host_registration_failed", core::log_event::level::warning)
                     .field("error", core::to_string(done.error().code))
                     .field("reason", done.error().detail);
             }
         }
-        co_await core::sleep_for(std::chrono::seconds(2));
+        co_await core::sleep_for(registration_pause);
     }
 }
 
--- a/src/objectstore/kindfeed.h
+++ b/src/objectstore/kindfeed.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "core/counters.h"
-#include "core/eventlog.h"
 #include "core/timer.h"
+#include "objectstore/feedhealth.h"
 #include "objectstore/objectstoreconstants.h"
 #include "objectstore/storeclient.h"
 
@@ -40,7 +39,8 @@
 class kind_feed {
 public:
     kind_feed(Store& store, std::string kind, Sink& sink, feed_pace pace, std::uint64_t seed)
-        : store_(store), kind_(std::move(kind)), sink_(sink), pace_(pace), random_(seed)
+        : store_(store), kind_(std::move(kind)), sink_(sink), pace_(pace), random_(seed),
+          health_(kind_)
     {
     }
 
@@ -50,7 +50,6 @@
     core::task<core::result<core::revision>> list();
     core::task<core::error> follow(core::revision from);
     core::task<void> pause();
-    void on_failure(std::string_view call, const core::error& e);
     void on_answer();
 
     Store& store_;
@@ -58,10 +57,7 @@
     Sink& sink_;
     feed_pace pace_;
     std::mt19937_64 random_;
-    bool failing_ = false;
-    /// Failures since the last answer.
-    int failures_ = 0;
-    core::time_point failing_since_;
+    feed_health health_;
 };
 
 template <store_client Store, feed_sink Sink>
@@ -70,13 +66,13 @@
     while (true) {
         core::result<core::revision> at = co_await list();
         if (!at) {
-            on_failure("list", at.error());
+            health_.on_failure("list", at.error());
             co_await pause();
             continue;
         }
         core::revision from = at.value();
         const core::error ended = co_await follow(from);
-        on_failure("watch", ended);
+        health_.on_failure("watch", ended);
         co_await pause();
     }
 }
@@ -133,7 +129,7 @@
         if (failure.code == core::errc::stale) {
             co_return failure;
         }
-        on_failure("watch", failure);
+        health_.on_failure("watch", failure);
         co_await pause();
     }
 }
@@ -141,42 +137,18 @@
 template <store_client Store, feed_sink Sink>
 core::task<void> kind_feed<Store, Sink>::pause()
 {
-    const std::chrono::milliseconds longest =
-        std::min(watch_retry_delay * (1 << std::min(failures_, 6)), pace_.longest_retry_pause);
+    const std::chrono::milliseconds longest = std::min(
+        watch_retry_delay * (1 << std::min(health_.failures(), 6)), pace_.longest_retry_pause);
     std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 2, longest.count());
     co_await core::sleep_for(std::chrono::milliseconds(jitter(random_)));
 }
 
-template <store_client Store, feed_sink Sink>
-void kind_feed<Store, Sink>::on_failure(std::string_view call, const core::error& e)
-{
-    core::counter_for("store_feed_failures_total", "kind=\"" + kind_ + "\"").add();
-    ++failures_;
-    if (failing_ || e.code == core::errc::stale) {
-        return;
-    }
-    failing_ = true;
-    failing_since_ = core::runtime_clock::now();
-    core::log_event("store_lost", core::log_event::level::warning)
-        .field("kind", kind_)
-        .field("call", call)
-        .field("error", core::to_string(e.code))
-        .field("reason", e.detail);
-}
-
 template <store_client Store, feed_sink Sink>
 void kind_feed<Store, Sink>::on_answer()
 {
-    failures_ = 0;
-    if (!failing_) {
-        return;
+    if (health_.on_answer()) {
+        sink_.take_store_back();
     }
-    failing_ = false;
-    const core::duration away = core::runtime_clock::now() - failing_since_;
-    core::log_event("store_regained")
-        .field("kind", kind_)
-        .field("away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(away).count());
-    sink_.take_store_back();
 }
 
 } // namespace currantpitch::objectstore
--- a/src/objectstore/storeclient.h
+++ b/src/objectstore/storeclient.h
@@ -56,6 +56,8 @@
     core::time_point deadline;
     /// Watches only: time after which the store answers although nothing changed.
     std::chrono::milliseconds watch_wait{1000};
+    /// Listings only: an answer that is some seconds old will do, which may be cheaper.
+    bool may_be_old = false;
 };
 
 /// An open watch. Errors: errc::timeout for silence, errc::closed, errc::stale when the store no
--- a/src/rankcontrol/rankagentnode.h
+++ b/src/rankcontrol/rankagentnode.h
@@ -2,7 +2,7 @@
 
 #include "gateway/metricsfront.h"
 #include "gateway/siteplatform.h"
-#include "objectstore/kindfeed.h"
+#include "objectstore/kindpoll.h"
 #include "rankcontrol/candidateside.h"
 
 namespace currantpitch::rankcontrol {
@@ -47,8 +47,8 @@
     candidate_side<typename Site::store, Port> candidate_;
     profile_sink profile_sink_{*this};
     endpoint_sink endpoint_sink_{*this};
-    objectstore::kind_feed<typename Site::store, profile_sink> profile_feed_;
-    objectstore::kind_feed<typename Site::store, endpoint_sink> endpoint_feed_;
+    objectstore::kind_poll<typename Site::store, profile_sink> profile_feed_;
+    objectstore::kind_poll<typename Site::store, endpoint_sink> endpoint_feed_;
     gateway::metrics_front metrics_;
     core::asio::ip::tcp::acceptor metrics_listener_;
     core::asio::ip::tcp::acceptor peer_listener_;
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "objectstore/kindfeed.h"
+#include "objectstore/kindpoll.h"
 
 #include <chrono>
 #include <cstddef>
@@ -8,10 +8,10 @@
 
 namespace currantpitch::rankcontrol {
 
-/// What an agent learns from the store is not urgent.
-inline constexpr objectstore::feed_pace agent_pace{std::chrono::milliseconds(20000),
+/// What an agent learns from the store is not urgent: the engines' profile and who is in the group.
+inline constexpr objectstore::poll_pace agent_pace{std::chrono::milliseconds(8000),
                                                    std::chrono::milliseconds(1500),
-                                                   std::chrono::milliseconds(3000)};
+                                                   std::chrono::milliseconds(12000)};
 /// Agents that may lead their group: enough that two may be away.
 inline constexpr std::size_t leader_candidates = 3;
 /// Interval at which a candidate tells the members that it lives.
