--- a/src/proxy/endtoendheaders.cpp
+++ b/src/proxy/endtoendheaders.cpp
@@ -1,4 +1,4 @@
-#include "proxy/requestflow.h"
+#include "proxy/endtoendheaders.h"
 
 #include <algorithm>
 #include <array>
--- /dev/null
+++ b/src/proxy/routedrequest.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/runtimeclock.h"
+#include "proxy/proxymessages.h"
+#include "routes/routetable.h"
+
+#include <memory>
+
+namespace currantpitch::proxy {
+
+/// Where a request goes, as decided when it was read.
+struct routed_request {
+    caller_request request;
+    /// Keeps the route alive over changes of the configuration.
+    std::shared_ptr<const routes::route_table> table;
+    const routes::route* route = nullptr;
+    const routes::workspace* workspace = nullptr;
+    core::service_id service;
+    core::time_point arrived;
+    core::duration configuration_age{};
+};
+
+} // namespace currantpitch::proxy
