--- a/bench/decisions/balancebench.cpp
+++ b/bench/decisions/balancebench.cpp
@@ -201,7 +201,7 @@
         figures.moved_later += period > 1 ? moved : 0;
         figures.moved_bytes += bytes;
         figures.seconds_lost += skew_seconds;
-        figures.objective += weights.skew * skew_seconds + weights.move * move_seconds(bytes);
+        figures.objective += weights.skew * skew_seconds + weights.move * move_time(bytes).count();
         waiting_since = now.event ? std::optional(period) : waiting_since;
         if (waiting_since && skew < recovered_skew) {
             figures.slowest_recovery =
--- a/src/expertmaps/groupcoordinator.h
+++ b/src/expertmaps/groupcoordinator.h
@@ -2,14 +2,12 @@
 
 #include "core/counters.h"
 #include "core/eventlog.h"
-#include "core/notifier.h"
 #include "expertmaps/expertmapsconstants.h"
-#include "expertmaps/fenceclaim.h"
 #include "expertmaps/groupmembers.h"
 #include "expertmaps/popularity.h"
+#include "expertmaps/rankside.h"
 #include "expertmaps/samplecollector.h"
 #include "expertmaps/switchleader.h"
-#include "expertmaps/switchparticipant.h"
 #include "wire/framedconnection.h"
 #include "wire/packer.h"
 #include "wire/unpacker.h"
@@ -38,8 +36,8 @@
 public:
     group_coordinator(const core::asio::any_io_executor& executor, Platform& store, Engine& engine,
                       core::host_id self, core::incarnation own, coordinator_pace pace = {})
-        : executor_(executor), store_(store), engine_(engine), self_(std::move(self)), own_(own),
-          pace_(pace), order_done_(executor)
+        : executor_(executor), store_(store), self_(std::move(self)), own_(own), pace_(pace),
+          rank_(executor, store, engine)
     {
     }
 
@@ -55,7 +53,7 @@
     void stop();
 
     bool leads() const { return leader_ != nullptr; }
-    core::map_version active() const { return participant_.state().active; }
+    core::map_version active() const { return rank_.state().active; }
 
 private:
     struct member_session {
@@ -68,7 +66,6 @@
     core::task<void> member_task(group_member candidate);
     core::task<void> member_read(wire::framed_connection& connection, group_member candidate);
     core::task<void> member_write(wire::framed_connection& connection);
-    core::task<rank_answer> carry_out(rank_order order);
     core::task<void> carry_out_locally(rank_order order);
     void take_answer(const rank_answer& answer);
     rank_report own_report() const;
@@ -81,20 +78,13 @@
 
     core::asio::any_io_executor executor_;
     Platform& store_;
-    Engine& engine_;
     core::host_id self_;
     core::incarnation own_;
     coordinator_pace pace_;
 
     group_configuration configuration_;
     std::optional<std::uint32_t> own_rank_;
-    switch_participant participant_{0, core::map_version{}, true};
-    bool fence_known_ = false;
-    rank_status status_;
-    std::optional<expert_map> active_map_;
-    std::optional<expert_map> staged_map_;
-    bool order_open_ = false;
-    core::notifier order_done_;
+    rank_side<Platform, Engine> rank_;
 
     std::map<core::host_id, core::time_point> candidate_heard_;
     std::set<core::host_id> dialled_;
@@ -144,7 +134,7 @@
         leader_.reset();
         return;
     }
-    participant_.set_rank(*own_rank_);
+    rank_.set_rank(*own_rank_);
     for (const group_member& candidate : candidates()) {
         if (candidate.host != self_ && dialled_.insert(candidate.host).second) {
             core::spawn(executor_, member_task(candidate));
@@ -175,33 +165,10 @@
 template <objectstore::store_client Platform, rank_engine Engine>
 void group_coordinator<Platform, Engine>::on_status(const rank_status& status)
 {
-    const bool first = status_.incarnation == core::incarnation{};
-    const bool replaced = !first && status.incarnation != status_.incarnation;
-    status_ = status;
-    if (first || replaced) {
-        const core::fence promised = participant_.state().promised;
-        participant_ = switch_participant(own_rank_.value_or(0), status.active, status.fresh);
-        rank_state kept = participant_.state();
-        kept.prepared = status.prepared;
-        kept.committed = status.committed;
-        kept.promised = promised;
-        participant_.restore(kept);
-    }
-    if (replaced) {
-        // Other leaders ask the rank again on its new connection, which member_write brings about.
-        if (leader_) {
-            send(leader_->on_rank_back(*own_rank_, core::runtime_clock::now()));
-        }
-    }
-    if (participant_.state().active != status.active && !status.fresh) {
-        participant_.begin(status.step);
-        if (staged_map_ && staged_map_->version == status.active) {
-            active_map_ = staged_map_;
-            core::log_event("map_active")
-                .field("group", configuration_.group)
-                .field("version", status.active)
-                .field("step", status.step);
-        }
+    const bool replaced = rank_.take(status, own_rank_.value_or(0), configuration_.group);
+    // Other leaders ask the rank again on its new connection, which member_write brings about.
+    if (replaced && leader_) {
+        send(leader_->on_rank_back(*own_rank_, core::runtime_clock::now()));
     }
 }
 
@@ -244,7 +211,8 @@
             if (!order) {
                 co_return;
             }
-            const rank_answer answer = co_await carry_out(std::move(order.value()));
+            const rank_answer answer =
+                co_await rank_.carry_out(std::move(order.value()), configuration_.group);
             connection.send(wire::encode(answer));
         }
     }
@@ -254,9 +222,9 @@
 core::task<void>
 group_coordinator<Platform, Engine>::member_write(wire::framed_connection& connection)
 {
-    const core::incarnation engine_life = status_.incarnation;
+    const core::incarnation engine_life = rank_.status().incarnation;
     core::time_point next_report = core::runtime_clock::now();
-    while (!connection.closed() && !stopped_ && status_.incarnation == engine_life) {
+    while (!connection.closed() && !stopped_ && rank_.status().incarnation == engine_life) {
         if (core::runtime_clock::now() - connection.last_received() > wire::silence_limit) {
             co_return;
         }
@@ -272,69 +240,14 @@
 template <objectstore::store_client Platform, rank_engine Engine>
 rank_report group_coordinator<Platform, Engine>::own_report() const
 {
-    return {own_rank_.value_or(0), status_.step, whole_counts(status_.expert_tokens),
-            status_.step_time, status_.age};
-}
-
-// One order at a time reaches the engine, and each is confirmed before the next.
-template <objectstore::store_client Platform, rank_engine Engine>
-core::task<rank_answer> group_coordinator<Platform, Engine>::carry_out(rank_order order)
-{
-    while (order_open_) {
-        co_await order_done_.wait();
-    }
-    order_open_ = true;
-    if (!fence_known_) {
-        // A restarted agent does not know what it promised; the platform knows every fence.
-        const core::result<core::fence> highest = co_await read_fence(store_, configuration_.group);
-        fence_known_ = highest.has_value();
-        if (highest) {
-            participant_.promise(highest.value());
-        }
-    }
-    rank_answer answer;
-    answer.rank = own_rank_.value_or(0);
-    answer.kind = order.kind;
-    answer.proposal = order.proposal;
-    answer.reason = "the highest fence is not known yet";
-    if (fence_known_) {
-        const rank_state before = participant_.state();
-        answer = participant_.on_order(order, status_.step);
-        const bool for_engine = answer.accepted && order.kind != order_kind::query;
-        if (for_engine) {
-            const core::time_point deadline = core::runtime_clock::now() + prepare_timeout;
-            const core::result<void> done = co_await engine_.order(order, deadline);
-            if (!done) {
-                answer.accepted = false;
-                answer.reason = done.error().detail;
-                const bool nothing_happened = done.error().code == core::errc::refused ||
-                                              done.error().code == core::errc::unavailable;
-                if (nothing_happened) {
-                    rank_state kept = before;
-                    kept.promised = participant_.state().promised;
-                    participant_.restore(kept);
-                }
-            }
-            else if (order.kind == order_kind::stage) {
-                participant_.on_staged(order.version);
-                staged_map_ = order.map;
-            }
-        }
-        answer.state = participant_.state();
-        answer.state.step = status_.step;
-        if (order.kind == order_kind::query) {
-            answer.map = active_map_;
-        }
-    }
-    order_open_ = false;
-    order_done_.notify();
-    co_return answer;
+    return {own_rank_.value_or(0), rank_.status().step, whole_counts(rank_.status().expert_tokens),
+            rank_.status().step_time, rank_.status().age};
 }
 
 template <objectstore::store_client Platform, rank_engine Engine>
 core::task<void> group_coordinator<Platform, Engine>::carry_out_locally(rank_order order)
 {
-    const rank_answer answer = co_await carry_out(std::move(order));
+    const rank_answer answer = co_await rank_.carry_out(std::move(order), configuration_.group);
     take_answer(answer);
 }
 
@@ -421,7 +334,7 @@
         co_await core::sleep_for(pace_.tick);
         const core::time_point now = core::runtime_clock::now();
         const bool able = !stopped_ && is_member() && configuration_.complete() &&
-                          status_.incarnation != core::incarnation{};
+                          rank_.status().incarnation != core::incarnation{};
         if (!able) {
             continue;
         }
@@ -503,8 +416,8 @@
             .field("reason", answer.reason);
     }
     if (before == leader_phase::committing && leader_->phase() == leader_phase::idle &&
-        staged_map_) {
-        present_ = *staged_map_;
+        rank_.staged_map()) {
+        present_ = *rank_.staged_map();
     }
 }
 
@@ -514,8 +427,9 @@
     send(leader_->tick(now));
     const double seconds = std::chrono::duration<double>(now - step_before_at_).count();
     if (seconds > 0.5) {
-        steps_per_second_ = static_cast<double>(status_.step.value - step_before_.value) / seconds;
-        step_before_ = status_.step;
+        steps_per_second_ =
+            static_cast<double>(rank_.status().step.value - step_before_.value) / seconds;
+        step_before_ = rank_.status().step;
         step_before_at_ = now;
     }
     if (leader_->staged()) {
@@ -523,7 +437,7 @@
             std::chrono::duration<double>(prepare_lead).count() * steps_per_second_;
         const std::uint64_t ahead =
             std::max(fewest_lead_steps, static_cast<std::uint64_t>(std::max(lead_steps, 0.0)));
-        const std::uint64_t from = std::max(status_.step.value, leader_->last_step().value);
+        const std::uint64_t from = std::max(rank_.status().step.value, leader_->last_step().value);
         send(leader_->prepare_at(core::step_number{from + ahead}, now));
     }
     if (now >= next_sample_) {
--- a/src/expertmaps/planner.cpp
+++ b/src/expertmaps/planner.cpp
@@ -39,9 +39,9 @@
     return "unknown";
 }
 
-double move_seconds(double bytes)
+std::chrono::duration<double> move_time(double bytes)
 {
-    return bytes / store_bytes_per_second;
+    return std::chrono::duration<double>(bytes / store_bytes_per_second);
 }
 
 void planner::refill_budget(core::time_point now)
@@ -66,8 +66,8 @@
 {
     const double span = std::chrono::duration<double>(horizon).count();
     const double saved = (slowest_before - slowest) / ideal * span;
-    const double cost =
-        options_.move_weight * move_seconds(static_cast<double>(moves) * options_.replica_bytes);
+    const double cost = options_.move_weight *
+                        move_time(static_cast<double>(moves) * options_.replica_bytes).count();
     const double factor = first_ ? first_hysteresis : hysteresis;
     return options_.skew_weight * saved - factor * cost;
 }
@@ -125,7 +125,7 @@
     result.skew_after = best->slowest / ideal;
     result.gain = options_.skew_weight * (result.skew_before - result.skew_after) *
                   std::chrono::duration<double>(horizon).count();
-    result.cost = options_.move_weight * move_seconds(result.moved_bytes);
+    result.cost = options_.move_weight * move_time(result.moved_bytes).count();
     if (result.moved > 0) {
         result.reason = plan_reason::moved;
         budget_bytes_ -= result.moved_bytes;
--- a/src/expertmaps/planner.h
+++ b/src/expertmaps/planner.h
@@ -50,8 +50,8 @@
     }
 };
 
-/// Time spent for moving so many bytes into a group's ranks, in seconds.
-double move_seconds(double bytes);
+/// Time for which moving so many bytes into a group's ranks takes.
+std::chrono::duration<double> move_time(double bytes);
 
 /// Plans maps for one group: weighs the step time that a better map saves over the horizon against
 /// the moves that it takes, and prefers few moves.
--- /dev/null
+++ b/src/expertmaps/rankside.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/notifier.h"
+#include "expertmaps/expertmapsconstants.h"
+#include "expertmaps/fenceclaim.h"
+#include "expertmaps/groupmembers.h"
+#include "expertmaps/switchparticipant.h"
+
+#include <optional>
+
+namespace currantpitch::expertmaps {
+
+/// One rank of a group as its agent keeps it: what the engine reports, what was promised to
+/// leaders, and the orders to the engine, one at a time.
+template <objectstore::store_client Platform, rank_engine Engine>
+class rank_side {
+public:
+    rank_side(const core::asio::any_io_executor& executor, Platform& store, Engine& engine)
+        : store_(store), engine_(engine), order_done_(executor)
+    {
+    }
+
+    void set_rank(std::uint32_t rank) { participant_.set_rank(rank); }
+    /// Takes what the engine reports; true when another life of the engine has taken its place.
+    bool take(const rank_status& status, std::uint32_t rank, const core::service_id& group);
+    /// Carries an order out and confirms it before the next.
+    core::task<rank_answer> carry_out(rank_order order, core::service_id group);
+
+    const rank_state& state() const { return participant_.state(); }
+    const rank_status& status() const { return status_; }
+    /// The map that the engine was told last.
+    const std::optional<expert_map>& staged_map() const { return staged_map_; }
+
+private:
+    core::task<void> learn_fence(const core::service_id& group);
+    core::task<rank_answer> apply(rank_order order);
+
+    Platform& store_;
+    Engine& engine_;
+    switch_participant participant_{0, core::map_version{}, true};
+    bool fence_known_ = false;
+    rank_status status_;
+    std::optional<expert_map> active_map_;
+    std::optional<expert_map> staged_map_;
+    bool order_open_ = false;
+    core::notifier order_done_;
+};
+
+template <objectstore::store_client Platform, rank_engine Engine>
+bool rank_side<Platform, Engine>::take(const rank_status& status, std::uint32_t rank,
+                                       const core::service_id& group)
+{
+    const bool first = status_.incarnation == core::incarnation{};
+    const bool replaced = !first && status.incarnation != status_.incarnation;
+    status_ = status;
+    if (first || replaced) {
+        const core::fence promised = participant_.state().promised;
+        participant_ = switch_participant(rank, status.active, status.fresh);
+        rank_state kept = participant_.state();
+        kept.prepared = status.prepared;
+        kept.committed = status.committed;
+        kept.promised = promised;
+        participant_.restore(kept);
+    }
+    if (participant_.state().active != status.active && !status.fresh) {
+        participant_.begin(status.step);
+        if (staged_map_ && staged_map_->version == status.active) {
+            active_map_ = staged_map_;
+            core::log_event("map_active")
+                .field("group", group)
+                .field("version", status.active)
+                .field("step", status.step);
+        }
+    }
+    return replaced;
+}
+
+// A restarted agent does not know what it promised; the platform knows every fence.
+template <objectstore::store_client Platform, rank_engine Engine>
+core::task<void> rank_side<Platform, Engine>::learn_fence(const core::service_id& group)
+{
+    const core::result<core::fence> highest = co_await read_fence(store_, group);
+    fence_known_ = highest.has_value();
+    if (highest) {
+        participant_.promise(highest.value());
+    }
+}
+
+template <objectstore::store_client Platform, rank_engine Engine>
+core::task<rank_answer> rank_side<Platform, Engine>::apply(rank_order order)
+{
+    const rank_state before = participant_.state();
+    rank_answer answer = participant_.on_order(order, status_.step);
+    if (!answer.accepted || order.kind == order_kind::query) {
+        co_return answer;
+    }
+    const core::time_point deadline = core::runtime_clock::now() + prepare_timeout;
+    const core::result<void> done = co_await engine_.order(order, deadline);
+    if (!done) {
+        answer.accepted = false;
+        answer.reason = done.error().detail;
+        const bool nothing_happened = done.error().code == core::errc::refused ||
+                                      done.error().code == core::errc::unavailable;
+        if (nothing_happened) {
+            rank_state kept = before;
+            kept.promised = participant_.state().promised;
+            participant_.restore(kept);
+        }
+    }
+    else if (order.kind == order_kind::stage) {
+        participant_.on_staged(order.version);
+        staged_map_ = order.map;
+    }
+    co_return answer;
+}
+
+template <objectstore::store_client Platform, rank_engine Engine>
+core::task<rank_answer> rank_side<Platform, Engine>::carry_out(rank_order order,
+                                                               core::service_id group)
+{
+    while (order_open_) {
+        co_await order_done_.wait();
+    }
+    order_open_ = true;
+    if (!fence_known_) {
+        co_await learn_fence(group);
+    }
+    const order_kind kind = order.kind;
+    rank_answer answer;
+    answer.rank = participant_.rank();
+    answer.kind = kind;
+    answer.proposal = order.proposal;
+    answer.reason = "the highest fence is not known yet";
+    if (fence_known_) {
+        answer = co_await apply(std::move(order));
+        answer.state = participant_.state();
+        answer.state.step = status_.step;
+        if (kind == order_kind::query) {
+            answer.map = active_map_;
+        }
+    }
+    order_open_ = false;
+    order_done_.notify();
+    co_return answer;
+}
+
+} // namespace currantpitch::expertmaps
--- a/src/expertmaps/switchparticipant.h
+++ b/src/expertmaps/switchparticipant.h
@@ -23,6 +23,7 @@
 
     /// Rank that the answers name.
     void set_rank(std::uint32_t rank) { rank_ = rank; }
+    std::uint32_t rank() const { return rank_; }
     /// Raises the promised fence without an order, after a look at the platform.
     void promise(core::fence fence);
     /// Takes over what the engine kept while this agent was away.
