--- a/bench/decisions/benchreport.cpp
+++ b/bench/decisions/benchreport.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 
 namespace currantpitch::bench {
@@ -34,6 +35,18 @@
     }
 }
 
+/// Figures as numbers, everything else as text.
+boost::json::value json_value(const std::string& text)
+{
+    double number = 0;
+    const char* const end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end || text.empty()) {
+        return boost::json::value(text);
+    }
+    return boost::json::value(number);
+}
+
 } // namespace
 
 void bench_report::print(std::ostream& out, report_format format) const
@@ -59,7 +72,7 @@
     for (const std::vector<std::string>& row : rows_) {
         boost::json::object fields;
         for (std::size_t i = 0; i < row.size(); ++i) {
-            fields[columns_[i]] = row[i];
+            fields[columns_[i]] = json_value(row[i]);
         }
         list.push_back(std::move(fields));
     }
