Lead, plan and switch each group of a service on its own

Cause: a service can have several groups of ranks. The adapter did not decode the name of a rank's group, and the agents of all groups chose one leader for the whole service.

Change: the group has a type of its own and is part of the engine's state, of every message between agents and of the key of the leadership in the store. A candidate refuses members of other groups, an agent refuses orders for another group with an error, and a rank whose number, size or group does not fit is logged and not counted as a member. Where a service has more hosts than a group has ranks, agents register their group in the store (one write each), since the entries of the endpoints do not name it. A claim of the leadership starts above every term that a member has obeyed or has a layout of, which also covers the objects that earlier versions left under the name of the service.

--- a/src/core/identifiers.h
+++ b/src/core/identifiers.h
@@ -47,6 +47,8 @@
 using endpoint_id = name<struct endpoint_tag>;
 /// A model group or a plain service; both can serve a workspace.
 using service_id = name<struct service_tag>;
+/// A group of ranks that execute each step together. Unique within its service.
+using group_id = name<struct group_tag>;
 
 /// Random number generated when a process starts. Distinguishes successive processes of one host.
 using incarnation = number<struct incarnation_tag>;
--- a/src/expertmaps/fenceclaim.h
+++ b/src/expertmaps/fenceclaim.h
@@ -5,6 +5,7 @@
 #include "objectstore/objectstoreconstants.h"
 #include "objectstore/storeclient.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 
@@ -27,9 +28,9 @@
 
 /// Returns the highest fence that has been claimed for the group, or zero when there is none.
 template <objectstore::store_client Store>
-core::task<core::result<core::fence>> read_fence(Store& store, core::service_id group)
+core::task<core::result<core::fence>> read_fence(Store& store, std::string group)
 {
-    const objectstore::object_key key{std::string(fence_kind), group.str()};
+    const objectstore::object_key key{std::string(fence_kind), std::move(group)};
     const objectstore::call_context call{"map_fence",
                                          core::runtime_clock::now() + objectstore::call_timeout};
     const core::result<objectstore::object> stored = co_await store.get(key, call);
@@ -42,14 +43,14 @@
     co_return internal::parse_fence(stored.value().body);
 }
 
-/// Claims the next fence of the group by one conditional write. Returns errc::conflict when another
-/// agent claimed it concurrently. When the response to the write was lost, the nonce in the object
-/// shows whether the write succeeded.
+/// Claims the next fence of the group, which is above the given one, by one conditional write.
+/// Returns errc::conflict when another agent claimed it concurrently. When the response to the
+/// write was lost, the nonce in the object shows whether the write succeeded.
 template <objectstore::store_client Store>
-core::task<core::result<core::fence>> claim_fence(Store& store, core::service_id group,
-                                                  std::uint64_t nonce)
+core::task<core::result<core::fence>> claim_fence(Store& store, std::string group,
+                                                  std::uint64_t nonce, core::fence above = {})
 {
-    const objectstore::object_key key{std::string(fence_kind), group.str()};
+    const objectstore::object_key key{std::string(fence_kind), std::move(group)};
     const objectstore::call_context read_call{"map_fence", core::runtime_clock::now() +
                                                                objectstore::call_timeout};
     const core::result<objectstore::object> stored = co_await store.get(key, read_call);
@@ -57,8 +58,8 @@
         co_return stored.error();
     }
     const core::revision version = stored ? stored.value().version : core::revision{};
-    const core::fence next_fence =
-        stored ? internal::parse_fence(stored.value().body).next() : core::fence{1};
+    const core::fence claimed = stored ? internal::parse_fence(stored.value().body) : core::fence{};
+    const core::fence next_fence = std::max(claimed, above).next();
     const std::string body = std::to_string(next_fence.value) + " " + std::to_string(nonce);
     const objectstore::call_context write_call{"map_fence", core::runtime_clock::now() +
                                                                 objectstore::call_timeout};
--- a/src/expertmaps/groupcoordinator.h
+++ b/src/expertmaps/groupcoordinator.h
@@ -368,7 +368,7 @@
 {
     claiming_ = true;
     const core::result<core::fence> fence =
-        co_await claim_fence(store_, configuration_.group, own_incarnation_.value);
+        co_await claim_fence(store_, configuration_.group.str(), own_incarnation_.value);
     claiming_ = false;
     if (!fence) {
         // Without a leader, the map stays unchanged and serving continues.
--- a/src/expertmaps/rankcontroller.h
+++ b/src/expertmaps/rankcontroller.h
@@ -81,7 +81,7 @@
 core::task<void>
 rank_controller<Store, Engine>::recover_promised_fence(const core::service_id& group)
 {
-    const core::result<core::fence> highest = co_await read_fence(store_, group);
+    const core::result<core::fence> highest = co_await read_fence(store_, group.str());
     fence_known_ = highest.has_value();
     if (highest) {
         participant_.promise(highest.value());
--- a/src/expertmaps/tests/tst_fenceclaim.cpp
+++ b/src/expertmaps/tests/tst_fenceclaim.cpp
@@ -19,7 +19,7 @@
             std::make_shared<core::result<core::fence>>(core::error{});
         run.spawn([](fakes::memory_store& s, std::uint64_t n,
                      std::shared_ptr<core::result<core::fence>> out) -> core::task<void> {
-            const core::service_id group("g");
+            const std::string group = "g";
             *out = co_await expertmaps::claim_fence(s, group, n);
         }(store, nonce, outcome));
         return outcome;
--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -27,14 +27,21 @@
 private:
     struct session {
         std::shared_ptr<wire::framed_connection> connection;
+        core::host_id member;
         std::optional<std::uint32_t> rank;
+        /// Reason why the last status was refused; empty if it was not.
+        std::string_view last_finding;
     };
 
     core::task<void> read(std::shared_ptr<session> s);
     core::task<void> send_claims(std::shared_ptr<session> s);
+    /// Whether the status fits the group as the other members describe it. Ends the session of a
+    /// member of another group.
+    bool accepts(session& s, const rank_status& status);
     core::task<void> fetch_fence();
     core::task<void> claim_leadership();
     void begin_leading(term own, const layout_shape& shape);
+    void end_leading(std::string_view reason);
     void tick();
     void send(std::vector<addressed_order> orders);
     core::task<void> execute_locally(addressed_order order);
@@ -46,6 +53,10 @@
     std::uint64_t nonce_;
     std::vector<std::shared_ptr<session>> sessions_;
     std::unique_ptr<group_leader> leader_;
+    /// Group that the agent belongs to while it leads or claims the leadership.
+    core::group_id group_;
+    /// Highest term that a member of the group has obeyed or has a layout of.
+    term highest_term_;
     std::uint64_t last_order_ = 0;
 };
 
@@ -59,16 +70,22 @@
     const core::result<member_hello> hello = first_frame
                                                  ? wire::decode<member_hello>(first_frame.value())
                                                  : core::result<member_hello>(first_frame.error());
-    if (!hello || hello.value().service != context_.settings.service) {
+    const bool same_group =
+        hello && !context_.group.empty() && hello.value().group == context_.own_group();
+    if (!same_group) {
+        core::counter_for("members_refused_total").add();
         core::log_event("member_refused", core::log_event::level::warning)
-            .field("reason", hello ? "another service" : hello.error().detail);
+            .field("reason", hello ? "another group" : hello.error().detail)
+            .field("group", hello ? hello.value().group.group : core::group_id());
         co_return;
     }
     core::log_event("member_up").field("member", hello.value().host);
     const std::shared_ptr<session> s = std::make_shared<session>();
     s->connection = connection;
+    s->member = hello.value().host;
     sessions_.push_back(s);
-    co_await (read(s) || connection->write_loop() || send_claims(s));
+    co_await (read(s) || connection->write_loop() || send_claims(s) ||
+              context_.group_changed.wait());
     connection->close();
     std::erase(sessions_, s);
     core::log_event("member_down").field("member", hello.value().host);
@@ -90,13 +107,10 @@
         const core::result<rank_status> status = wire::decode<rank_status>(frame.value());
         const core::result<rank_answer> answer = status ? core::result<rank_answer>(core::error{})
                                                         : wire::decode<rank_answer>(frame.value());
-        if (status) {
-            s->rank = status.value().state.rank;
-        }
-        if (leader_ && status) {
+        if (status && accepts(*s, status.value()) && leader_) {
             leader_->on_status(status.value(), now);
         }
-        if (leader_ && answer && s->rank) {
+        if (answer && accepts(*s, answer.value().status) && leader_) {
             leader_->on_answer(*s->rank, answer.value(), now);
         }
         // While no switch is under way, the periodic tick is enough.
@@ -106,11 +120,58 @@
     }
 }
 
+template <class Store, rank_port Port>
+bool candidate_side<Store, Port>::accepts(session& s, const rank_status& status)
+{
+    const rank_state& state = status.state;
+    std::string_view finding;
+    if (state.group != context_.group) {
+        finding = "another_group";
+        s.connection->close();
+    }
+    else if (engine_.shape() && state.group_size != engine_.shape()->ranks) {
+        finding = "another_group_size";
+    }
+    else if (state.rank >= state.group_size) {
+        finding = "rank_out_of_range";
+    }
+    else if (engine_.state() && state.rank == engine_.state()->rank) {
+        finding = "rank_used_twice";
+    }
+    for (const std::shared_ptr<session>& other : sessions_) {
+        if (finding.empty() && other.get() != &s && other->rank == state.rank) {
+            // An earlier session of the same host ends by its timeout.
+            finding = other->member == s.member ? std::string_view() : "rank_used_twice";
+        }
+    }
+    if (finding.empty()) {
+        s.rank = state.rank;
+        highest_term_ = std::max({highest_term_, status.promised, newest_term(state)});
+        return true;
+    }
+    if (s.rank && leader_) {
+        leader_->on_disconnected(*s.rank);
+    }
+    s.rank.reset();
+    core::counter_for("member_statuses_refused_total").add();
+    if (s.last_finding != finding) {
+        core::log_event("member_status_refused", core::log_event::level::warning)
+            .field("member", s.member)
+            .field("reason", finding)
+            .field("group", state.group)
+            .field("rank", state.rank)
+            .field("group_size", state.group_size);
+    }
+    s.last_finding = finding;
+    return false;
+}
+
 template <class Store, rank_port Port>
 core::task<void> candidate_side<Store, Port>::send_claims(std::shared_ptr<session> s)
 {
     while (!s->connection->closed()) {
-        s->connection->send(wire::encode(leader_claim{leader_ ? leader_->own_term() : term{}}));
+        s->connection->send(
+            wire::encode(leader_claim{context_.group, leader_ ? leader_->own_term() : term{}}));
         co_await core::sleep_for(claim_interval);
     }
 }
@@ -118,35 +179,49 @@
 template <class Store, rank_port Port>
 core::task<void> candidate_side<Store, Port>::fetch_fence()
 {
-    while (!context_.fence_known) {
-        const core::result<core::fence> fence =
-            co_await expertmaps::read_fence(store_, context_.settings.service);
-        if (fence) {
-            context_.fence_known = true;
-            context_.promise(term{fence.value().value}, "store");
-            co_return;
-        }
-        core::log_event("fence_unknown", core::log_event::level::warning)
-            .field("reason", fence.error().detail);
-        co_await core::sleep_for(claim_retry_delay);
+    const group_key group = context_.own_group();
+    const core::result<core::fence> fence =
+        co_await expertmaps::read_fence(store_, group.object_name());
+    if (group != context_.own_group()) {
+        co_return;
     }
+    if (fence) {
+        context_.fence_known = true;
+        context_.promise(term{fence.value().value}, "store");
+        co_return;
+    }
+    core::log_event("fence_unknown", core::log_event::level::warning)
+        .field("group", group.group)
+        .field("reason", fence.error().detail);
+    co_await core::sleep_for(claim_retry_delay);
 }
 
 template <class Store, rank_port Port>
 core::task<void> candidate_side<Store, Port>::run()
 {
-    co_await fetch_fence();
     while (!context_.stopping) {
         co_await core::sleep_for(leader_tick_interval);
+        if (group_ != context_.group) {
+            end_leading("group_changed");
+            group_ = context_.group;
+            highest_term_ = term{};
+        }
+        if (!context_.fence_known) {
+            if (!group_.empty()) {
+                co_await fetch_fence();
+            }
+            continue;
+        }
         const std::optional<layout_shape> current_shape = engine_.shape();
         const bool earlier_running = member_.earlier_candidate_running();
-        const bool must_step_down =
-            leader_ && (leader_->deposed() || earlier_running || current_shape != leader_->shape());
-        if (must_step_down) {
-            core::log_event("group_leadership_ends")
-                .field("term", leader_->own_term())
-                .field("deposed", leader_->deposed());
-            leader_.reset();
+        if (leader_ && leader_->deposed()) {
+            end_leading("deposed");
+        }
+        if (leader_ && earlier_running) {
+            end_leading("earlier_candidate");
+        }
+        if (leader_ && current_shape != leader_->shape()) {
+            end_leading("shape_changed");
         }
         if (!leader_ && current_shape && !earlier_running) {
             co_await claim_leadership();
@@ -157,14 +232,33 @@
     }
 }
 
+template <class Store, rank_port Port>
+void candidate_side<Store, Port>::end_leading(std::string_view reason)
+{
+    if (!leader_) {
+        return;
+    }
+    core::log_event("group_leadership_ends")
+        .field("group", group_)
+        .field("term", leader_->own_term())
+        .field("reason", reason);
+    leader_.reset();
+}
+
 template <class Store, rank_port Port>
 core::task<void> candidate_side<Store, Port>::claim_leadership()
 {
-    const core::result<core::fence> fence =
-        co_await expertmaps::claim_fence(store_, context_.settings.service, nonce_);
+    const group_key group = context_.own_group();
+    const term floor = std::max(highest_term_, newest_term(*engine_.state()));
+    const core::result<core::fence> fence = co_await expertmaps::claim_fence(
+        store_, group.object_name(), nonce_, core::fence{std::max(floor, context_.promised).value});
+    if (group != context_.own_group()) {
+        co_return;
+    }
     if (!fence) {
         // Without a leader the layout does not change, and serving continues.
         core::log_event("group_claim_failed", core::log_event::level::warning)
+            .field("group", group.group)
             .field("error", core::to_string(fence.error().code))
             .field("reason", fence.error().detail);
         co_await core::sleep_for(claim_retry_delay);
@@ -188,11 +282,11 @@
     }
     context_.promise(own, "self");
     context_.leader = context_.settings.peer_address;
-    leader_ = std::make_unique<group_leader>(own, engine_.state()->rank, shape, costs,
-                                             context_.target_gap);
+    leader_ = std::make_unique<group_leader>(own, context_.own_group(), engine_.state()->rank,
+                                             shape, costs, context_.target_gap);
     core::counter_for("group_leaderships_total").add();
     for (const std::shared_ptr<session>& s : sessions_) {
-        s->connection->send(wire::encode(leader_claim{own}));
+        s->connection->send(wire::encode(leader_claim{context_.group, own}));
     }
 }
 
@@ -218,7 +312,7 @@
         }
         for (const std::shared_ptr<session>& s : sessions_) {
             if (s->rank == o.rank) {
-                rank_order message{++last_order_, leader_->own_term(), {}, {}};
+                rank_order message{++last_order_, context_.group, leader_->own_term(), {}, {}};
                 if (o.order.kind == order_kind::load) {
                     if (layout_bytes.empty()) {
                         layout_bytes = to_compact(o.order.experts);
--- a/src/rankcontrol/enginemonitor.h
+++ b/src/rankcontrol/enginemonitor.h
@@ -36,6 +36,8 @@
     std::optional<std::pair<group_epoch, core::map_version>> held_layout_id() const;
 
 private:
+    /// Logs the first of several successive states that cannot be decoded.
+    void log_unreadable(const core::result<rank_state>& state);
     bool needs_expert_list(core::time_point now) const;
     core::task<void> read_held_experts();
     core::task<void> read_counts();
@@ -46,6 +48,7 @@
     rank_executor<Port> engine_;
     core::notifier state_updated_;
     std::optional<rank_state> state_;
+    bool state_unreadable_ = false;
     /// Epoch and version of the active layout, and the time at which it was first seen.
     std::pair<group_epoch, core::map_version> active_layout_id_;
     core::time_point active_layout_since_;
@@ -65,8 +68,12 @@
 {
     while (!context_.stopping) {
         const core::result<rank_state> state = co_await engine_.state();
+        log_unreadable(state);
         if (state) {
             state_ = state.value();
+            if (state_->group != context_.group) {
+                context_.join(state_->group);
+            }
             const core::time_point now = core::runtime_clock::now();
             const std::pair<group_epoch, core::map_version> id{state_->epoch, state_->active};
             if (id != active_layout_id_) {
@@ -84,6 +91,17 @@
     }
 }
 
+template <rank_port Port>
+void engine_monitor<Port>::log_unreadable(const core::result<rank_state>& state)
+{
+    const bool unreadable = !state && state.error().code == core::errc::malformed;
+    if (unreadable && !state_unreadable_) {
+        core::log_event("engine_state_unreadable", core::log_event::level::warning)
+            .field("reason", state.error().detail);
+    }
+    state_unreadable_ = unreadable;
+}
+
 template <rank_port Port>
 bool engine_monitor<Port>::needs_expert_list(core::time_point now) const
 {
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -7,16 +7,17 @@
 
 namespace currantpitch::rankcontrol {
 
-group_leader::group_leader(term own, std::uint32_t own_rank, const layout_shape& shape,
-                           planner_costs costs, core::duration step_time_target)
-    : own_term_(own), shape_(shape), costs_(costs), switch_(own, shape.ranks, own_rank),
-      demand_(shape), step_time_target_(step_time_target)
+group_leader::group_leader(term own, group_key group, std::uint32_t own_rank,
+                           const layout_shape& shape, planner_costs costs,
+                           core::duration step_time_target)
+    : own_term_(own), group_(std::move(group)), shape_(shape), costs_(costs),
+      switch_(own, shape.ranks, own_rank), demand_(shape), step_time_target_(step_time_target)
 {
 }
 
 void group_leader::on_status(const rank_status& status, core::time_point now)
 {
-    if (status.promised > own_term_) {
+    if (status.promised > own_term_ || newest_term(status.state) > own_term_) {
         deposed_ = true;
         return;
     }
@@ -101,6 +102,7 @@
         return;
     }
     core::log_event("layout_switch")
+        .field("group", group_.group)
         .field("term", own_term_)
         .field("from", to_string(before))
         .field("to", to_string(switch_.phase()))
@@ -158,6 +160,7 @@
     std::optional<layout_plan> next =
         plan_layout(*current_layout_, demand_.shares(), slowness, shape_, costs);
     core::log_event("placement")
+        .field("group", group_.group)
         .field("term", own_term_)
         .field("running", switch_.running_version())
         .field("tokens", demand_.last_tokens())
--- a/src/rankcontrol/groupleader.h
+++ b/src/rankcontrol/groupleader.h
@@ -26,8 +26,8 @@
 class group_leader {
 public:
     /// step_time_target is the longest time between two steps that is still on time for callers.
-    group_leader(term own, std::uint32_t own_rank, const layout_shape& shape, planner_costs costs,
-                 core::duration step_time_target);
+    group_leader(term own, group_key group, std::uint32_t own_rank, const layout_shape& shape,
+                 planner_costs costs, core::duration step_time_target);
 
     void on_status(const rank_status& status, core::time_point now);
     void on_answer(std::uint32_t rank, const rank_answer& answer, core::time_point now);
@@ -36,7 +36,8 @@
     std::vector<addressed_order> tick(core::time_point now);
 
     term own_term() const { return own_term_; }
-    /// Whether a member obeys a higher term.
+    /// Whether a member obeys a higher term or has a layout of one. Its engine would refuse the
+    /// versions of this term.
     bool deposed() const { return deposed_; }
     const layout_switch& progress() const { return switch_; }
     const layout_shape& shape() const { return shape_; }
@@ -57,6 +58,7 @@
     };
 
     term own_term_;
+    group_key group_;
     layout_shape shape_;
     planner_costs costs_;
     layout_switch switch_;
--- a/src/rankcontrol/memberside.h
+++ b/src/rankcontrol/memberside.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/counters.h"
 #include "rankcontrol/enginemonitor.h"
 #include "rankcontrol/expertlisttracker.h"
 #include "rankcontrol/groupmembers.h"
@@ -25,6 +26,13 @@
     }
 
     group_members& members() { return members_; }
+    /// Takes part in the group that the engine has joined.
+    void on_group_changed()
+    {
+        members_.set_own_group(context_.group);
+        last_contact_.clear();
+        dial_candidates();
+    }
     /// Connects to the candidates that have no connection yet.
     void dial_candidates();
     /// Whether a candidate that precedes this agent is alive, or this agent is not a candidate.
@@ -35,6 +43,9 @@
 
     bool is_candidate(const settings::address& a) const;
     core::task<void> follow(settings::address candidate);
+    /// Talks to a candidate until the connection ends or the engine joins another group. Returns
+    /// whether the candidate answered.
+    core::task<bool> talk(connection_pointer connection, settings::address candidate);
     core::task<void> read(connection_pointer connection, settings::address candidate);
     core::task<void> report(connection_pointer connection, settings::address candidate);
     core::task<void> execute_order(connection_pointer connection, rank_order order);
@@ -50,7 +61,7 @@
 template <rank_port Port>
 bool member_side<Port>::is_candidate(const settings::address& a) const
 {
-    const std::vector<settings::address> list = members_.candidates();
+    const std::vector<settings::address>& list = members_.candidates();
     return std::find(list.begin(), list.end(), a) != list.end();
 }
 
@@ -74,7 +85,7 @@
         }
         const auto entry = last_contact_.find(candidate);
         const core::time_point last_contact =
-            entry == last_contact_.end() ? context_.started_at : entry->second;
+            entry == last_contact_.end() ? context_.joined_at : entry->second;
         if (now - last_contact <= candidate_heartbeat_timeout) {
             return true;
         }
@@ -86,31 +97,45 @@
 template <rank_port Port>
 core::task<void> member_side<Port>::follow(settings::address candidate)
 {
-    using namespace core::asio::experimental::awaitable_operators;
     while (is_candidate(candidate)) {
         core::result<core::asio::ip::tcp::socket> socket = co_await wire::connect(
             candidate, core::runtime_clock::now() + candidate_heartbeat_timeout);
+        bool answered = !socket;
         if (socket) {
-            const connection_pointer connection =
-                std::make_shared<wire::framed_connection>(std::move(socket.value()));
-            connection->send(
-                wire::encode(member_hello{context_.settings.host, context_.settings.service}));
-            co_await (read(connection, candidate) || connection->write_loop() ||
-                      report(connection, candidate));
-            connection->close();
-            if (context_.leader == candidate) {
-                core::log_event("group_leader_lost").field("term", context_.promised);
-            }
+            answered = co_await talk(
+                std::make_shared<wire::framed_connection>(std::move(socket.value())), candidate);
         }
-        co_await core::sleep_for(connect_retry_delay);
+        // A candidate that accepts connections but does not answer belongs to another group.
+        co_await core::sleep_for(answered ? connect_retry_delay : refused_retry_delay);
     }
     dialled_.erase(candidate);
 }
 
+template <rank_port Port>
+core::task<bool> member_side<Port>::talk(connection_pointer connection, settings::address candidate)
+{
+    using namespace core::asio::experimental::awaitable_operators;
+    const core::time_point connected_at = core::runtime_clock::now();
+    connection->send(wire::encode(member_hello{context_.settings.host, context_.own_group()}));
+    co_await (read(connection, candidate) || connection->write_loop() ||
+              report(connection, candidate) || context_.group_changed.wait());
+    connection->close();
+    if (context_.leader == candidate) {
+        core::log_event("group_leader_lost")
+            .field("group", context_.group)
+            .field("term", context_.promised);
+    }
+    const auto contact = last_contact_.find(candidate);
+    co_return contact != last_contact_.end() && contact->second >= connected_at;
+}
+
 template <rank_port Port>
 void member_side<Port>::on_claim(const leader_claim& claim, const settings::address& candidate)
 {
     const term t = claim.term;
+    if (claim.group != context_.group) {
+        return;
+    }
     if (t.value > 0 && context_.fence_known && t >= context_.promised) {
         context_.promise(t, candidate.address().to_string());
         context_.leader = candidate;
@@ -126,8 +151,10 @@
         if (!frame) {
             co_return;
         }
-        last_contact_[candidate] = core::runtime_clock::now();
         const core::result<leader_claim> claimed = wire::decode<leader_claim>(frame.value());
+        if (!claimed || claimed.value().group == context_.group) {
+            last_contact_[candidate] = core::runtime_clock::now();
+        }
         if (claimed) {
             on_claim(claimed.value(), candidate);
             continue;
@@ -145,7 +172,16 @@
 {
     rank_answer answer;
     answer.id = order.id;
-    if (order.term == context_.promised && context_.fence_known) {
+    const bool own_group = order.group == context_.group;
+    if (!own_group) {
+        core::counter_for("orders_for_another_group_total").add();
+        core::log_event("order_refused", core::log_event::level::error)
+            .field("order", to_string(order.order.kind))
+            .field("group", order.group)
+            .field("own_group", context_.group)
+            .field("term", order.term);
+    }
+    if (own_group && order.term == context_.promised && context_.fence_known) {
         if (order.order.kind == order_kind::load) {
             order.order.experts = layout_from_compact(order.experts).value_or(layout{});
         }
--- a/src/rankcontrol/rankagentnode.h
+++ b/src/rankcontrol/rankagentnode.h
@@ -4,6 +4,7 @@
 #include "gateway/siteplatform.h"
 #include "objectstore/kindpoll.h"
 #include "rankcontrol/candidateside.h"
+#include "rankcontrol/memberregistry.h"
 
 namespace currantpitch::rankcontrol {
 
@@ -39,12 +40,15 @@
     };
 
     core::task<void> accept_members();
+    /// Informs the members' side when the engine joins a group.
+    core::task<void> follow_group();
 
     agent_context context_;
     typename Site::store store_;
     engine_monitor<Port> engine_;
     member_side<Port> member_;
     candidate_side<typename Site::store, Port> candidate_;
+    member_registry<typename Site::store> registry_;
     profile_sink profile_sink_{*this};
     endpoint_sink endpoint_sink_{*this};
     objectstore::kind_poll<typename Site::store, profile_sink> profile_feed_;
@@ -61,6 +65,11 @@
     : context_(executor, std::move(settings)), store_(executor, context_.settings.store_address),
       engine_(context_), member_(context_, engine_),
       candidate_(context_, store_, engine_, member_, seed),
+      registry_(context_, store_, seed + 3,
+                [this](std::map<boost::asio::ip::address, core::group_id> groups) {
+                    member_.members().set_registered_groups(std::move(groups));
+                    member_.dial_candidates();
+                }),
       profile_feed_(store_, Site::configuration_key().kind, profile_sink_, agent_poll_timing,
                     seed + 1),
       endpoint_feed_(store_, Site::endpoint_kind(), endpoint_sink_, agent_poll_timing, seed + 2),
@@ -85,6 +94,7 @@
     core::spawn(context_.executor, endpoint_feed_.run());
     core::spawn(context_.executor, http::serve(metrics_listener_, metrics_));
     core::spawn(context_.executor, accept_members());
+    core::spawn(context_.executor, follow_group());
     core::spawn(context_.executor, engine_.run());
     core::spawn(context_.executor, candidate_.run());
     while (!context_.stopping) {
@@ -143,6 +153,8 @@
         }
     }
     node.member_.members().on_listing(records);
+    node.registry_.on_host_count(node.member_.members().host_count(),
+                                 node.engine_.state() ? node.engine_.state()->group_size : 0);
     node.member_.dial_candidates();
 }
 
@@ -162,6 +174,15 @@
     node.member_.dial_candidates();
 }
 
+template <gateway::site_platform Site, rank_port Port>
+core::task<void> rank_agent_node<Site, Port>::follow_group()
+{
+    while (!context_.stopping) {
+        co_await context_.group_changed.wait();
+        member_.on_group_changed();
+    }
+}
+
 template <gateway::site_platform Site, rank_port Port>
 core::task<void> rank_agent_node<Site, Port>::accept_members()
 {
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -54,6 +54,13 @@
 /// Delay before a failed or lost connection to a candidate is opened again, and after a failed
 /// accept.
 inline constexpr std::chrono::milliseconds connect_retry_delay{300};
+/// Delay before a connection to a candidate is opened again that did not answer the last one.
+inline constexpr std::chrono::milliseconds refused_retry_delay{1500};
+/// Interval at which an agent checks whether its registered group is up to date.
+inline constexpr std::chrono::milliseconds registration_check_interval{1000};
+/// Number of successive listings with more hosts than the group has ranks after which the service
+/// counts as having several groups. A replaced host is listed beside the new one for a short time.
+inline constexpr int listings_before_registration = 2;
 /// Delay after a failed claim of the leadership or a failed read of the fence.
 inline constexpr std::chrono::milliseconds claim_retry_delay{1000};
 
--- a/src/rankcontrol/rankmessages.h
+++ b/src/rankcontrol/rankmessages.h
@@ -25,32 +25,33 @@
 template <class Archive>
 void describe(Archive& archive, rank_state& m)
 {
-    archive(m.rank, m.group_size, m.epoch, m.open, m.incarnation, m.step, m.active, m.loaded,
-            m.armed, m.held_step, m.slowness);
+    archive(m.group, m.rank, m.group_size, m.epoch, m.open, m.incarnation, m.step, m.active,
+            m.loaded, m.armed, m.held_step, m.slowness);
 }
 
 /// First message of a member's connection to a candidate.
 struct member_hello {
     static constexpr std::uint8_t type = member_hello_type;
     core::host_id host;
-    core::service_id service;
+    group_key group;
 };
 template <class Archive>
 void describe(Archive& archive, member_hello& m)
 {
-    archive(m.host, m.service);
+    archive(m.host, m.group.service, m.group.group);
 }
 
-/// Heartbeat of a candidate and the term under which it leads; the term is zero when it does not
-/// lead.
+/// Heartbeat of a candidate and the term under which it leads the group; the term is zero when it
+/// does not lead.
 struct leader_claim {
     static constexpr std::uint8_t type = leader_claim_type;
+    core::group_id group;
     rankcontrol::term term;
 };
 template <class Archive>
 void describe(Archive& archive, leader_claim& m)
 {
-    archive(m.term);
+    archive(m.group, m.term);
 }
 
 /// State of a member's engine. A member obeys no leader with a term below the promised one, which
@@ -75,6 +76,7 @@
 struct rank_order {
     static constexpr std::uint8_t type = rank_order_type;
     std::uint64_t id = 0;
+    core::group_id group;
     rankcontrol::term term;
     /// The order without its experts, which are encoded in experts.
     engine_order order;
@@ -83,7 +85,8 @@
 template <class Archive>
 void describe(Archive& archive, rank_order& m)
 {
-    archive(m.id, m.term, m.order.kind, m.order.epoch, m.order.version, m.order.step, m.experts);
+    archive(m.id, m.group, m.term, m.order.kind, m.order.epoch, m.order.version, m.order.step,
+            m.experts);
 }
 
 /// Answer to an order, with the engine's state after it. There is no result when the engine did not
--- a/src/rankcontrol/rankstate.cpp
+++ b/src/rankcontrol/rankstate.cpp
@@ -1,5 +1,7 @@
 #include "rankcontrol/rankstate.h"
 
+#include <algorithm>
+
 namespace currantpitch::rankcontrol {
 
 std::string_view to_string(order_kind k)
@@ -30,9 +32,22 @@
 
 bool differs(const rank_state& a, const rank_state& b)
 {
-    return a.rank != b.rank || a.group_size != b.group_size || a.epoch != b.epoch ||
-           a.open != b.open || a.incarnation != b.incarnation || a.active != b.active ||
-           a.loaded != b.loaded || a.armed != b.armed || a.held_step != b.held_step;
+    return a.group != b.group || a.rank != b.rank || a.group_size != b.group_size ||
+           a.epoch != b.epoch || a.open != b.open || a.incarnation != b.incarnation ||
+           a.active != b.active || a.loaded != b.loaded || a.armed != b.armed ||
+           a.held_step != b.held_step;
+}
+
+term newest_term(const rank_state& state)
+{
+    core::map_version newest = state.active;
+    if (state.loaded) {
+        newest = std::max(newest, *state.loaded);
+    }
+    if (state.armed) {
+        newest = std::max(newest, state.armed->version);
+    }
+    return term_of(newest);
 }
 
 bool fulfilled(const engine_order& order, const rank_state& state)
--- a/src/rankcontrol/rankstate.h
+++ b/src/rankcontrol/rankstate.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace currantpitch::rankcontrol {
@@ -22,6 +23,16 @@
 /// Counts or shares by layer and expert.
 using expert_counts = std::vector<std::vector<double>>;
 
+/// Identifies a group among all services.
+struct group_key {
+    core::service_id service;
+    core::group_id group;
+
+    /// Name of the group's objects in the store.
+    std::string object_name() const { return service.str() + "." + group.str(); }
+    friend bool operator==(const group_key&, const group_key&) = default;
+};
+
 /// Dimensions and limits of a group's layouts.
 struct layout_shape {
     std::size_t ranks = 0;
@@ -47,6 +58,7 @@
 
 /// State that an engine reports.
 struct rank_state {
+    core::group_id group;
     std::uint32_t rank = 0;
     std::uint32_t group_size = 0;
     group_epoch epoch;
@@ -74,6 +86,8 @@
 {
     return term{v.value / versions_per_term};
 }
+/// Highest term of the layouts that the engine has or copies.
+term newest_term(const rank_state& state);
 
 enum class order_kind : std::uint8_t {
     load,    ///< copy the experts of a layout
--- a/tests/fakes/rankgroup.cpp
+++ b/tests/fakes/rankgroup.cpp
@@ -6,7 +6,8 @@
 
 using namespace rankcontrol;
 
-rank_group::rank_group(layout_shape shape) : shape_(shape), engines_(shape.ranks)
+rank_group::rank_group(layout_shape shape, core::group_id name)
+    : shape_(shape), name_(std::move(name)), engines_(shape.ranks)
 {
     rebuild_group();
     epoch_ = group_epoch{1};
@@ -85,6 +86,7 @@
 {
     const engine& e = engines_[rank];
     rank_state s;
+    s.group = name_;
     s.rank = rank;
     s.group_size = static_cast<std::uint32_t>(engines_.size());
     s.epoch = epoch_;
--- a/tests/fakes/rankgroup.h
+++ b/tests/fakes/rankgroup.h
@@ -14,7 +14,8 @@
 /// Records the first step that began with two layouts or without one of the experts.
 class rank_group {
 public:
-    explicit rank_group(rankcontrol::layout_shape shape);
+    explicit rank_group(rankcontrol::layout_shape shape,
+                        core::group_id name = core::group_id("group"));
 
     rankcontrol::order_result order(std::uint32_t rank, const rankcontrol::engine_order& order);
     rankcontrol::rank_state state(std::uint32_t rank) const;
@@ -59,6 +60,7 @@
     void check_layouts();
 
     rankcontrol::layout_shape shape_;
+    core::group_id name_;
     std::vector<engine> engines_;
     rankcontrol::group_epoch epoch_{1};
     core::step_number step_;
