Bound what servers in trouble can do, and scale load reports with the entries

Causes, found by reading and tests: (1) bytes without end in a chunk extension or in the answer of an engine or the store were buffered without a limit, or up to 128 MB. (3) An answer without the request's id was taken for the answer to the current request. (4) An exception in the task of one connection ended the process; a negative revision in an answer of the store threw one. (5) Each of 148 entries sent its load to all others every 100 ms: 1,470 messages a second for each, most of its processor time. (6) Agents of large groups read 4,128 counts from their engine at each poll and used one poll in 28.

Change: unparsed bytes, heads and answers have limits; a stream's silence counts only without unread bytes and while another attempt is possible; answers need the request's id; tasks of connections and messages contain exceptions, log and count them; the interval of load reports grows with the entries, so that each receives at most 320 a second, and their lifetime with it; large groups count over a window of 480 ms before the counts are due.

--- a/src/admission/retrywindow.cpp
+++ b/src/admission/retrywindow.cpp
@@ -41,7 +41,7 @@
     ++current_bucket(now).requests;
 }
 
-bool retry_window::try_acquire_retry(core::time_point now)
+bool retry_window::has_retry(core::time_point now) const
 {
     const bucket total = window_totals(now);
     const bool slack_available = now - started_at_ >= allowance_.window;
@@ -49,7 +49,12 @@
         slack_available ? allowance_.slack / static_cast<double>(process_count_) : 0.0;
     const double allowed = retry_allowance_utilization *
                            (allowance_.ratio * static_cast<double>(total.requests) + slack);
-    if (static_cast<double>(total.retries) + 1 > allowed) {
+    return static_cast<double>(total.retries) + 1 <= allowed;
+}
+
+bool retry_window::try_acquire_retry(core::time_point now)
+{
+    if (!has_retry(now)) {
         return false;
     }
     ++current_bucket(now).retries;
--- a/src/admission/retrywindow.h
+++ b/src/admission/retrywindow.h
@@ -37,6 +37,8 @@
         process_count_ = processes == 0 ? 1 : processes;
     }
     void on_request(core::time_point now);
+    /// Whether a retry is left in the allowance.
+    bool has_retry(core::time_point now) const;
     /// Takes one retry from the allowance. Returns false when none is left.
     bool try_acquire_retry(core::time_point now);
 
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -6,6 +6,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <exception>
+#include <string_view>
 
 namespace currantpitch::core {
 
@@ -26,6 +27,10 @@
     });
 }
 
+/// Starts a detached task that serves one connection or one message. An exception that escapes from
+/// it ends only this task; it is logged and counted.
+void spawn_contained(const asio::any_io_executor& executor, std::string_view name, task<void> work);
+
 /// Starts a task and calls on_complete with its result. An exception that escapes from either
 /// terminates the process.
 template <class Executor, class T, class OnComplete>
--- a/src/core/tests/tst_core.cpp
+++ b/src/core/tests/tst_core.cpp
@@ -98,3 +98,22 @@
     core::counter_for("test_total", "kind=\"x\"").add(3);
     CHECK(core::metrics_text().find("currantpitch_test_total{kind=\"x\"} 3") != std::string::npos);
 }
+
+TEST_GROUP(tasks){};
+
+TEST(tasks, an_exception_ends_only_the_contained_task_that_threw_it)
+{
+    testing::paused_run run;
+    bool other_finished = false;
+    core::spawn_contained(run.executor(), "test", []() -> core::task<void> {
+        co_await core::sleep_for(10ms);
+        throw std::runtime_error("unexpected");
+    }());
+    run.spawn([](bool& finished) -> core::task<void> {
+        co_await core::sleep_for(20ms);
+        finished = true;
+    }(other_finished));
+    run.advance(30ms);
+    CHECK(other_finished);
+    CHECK(core::counter_for("tasks_failed_total", "task=\"test\"").value() == 1);
+}
--- a/src/dispatch/dispatchconstants.h
+++ b/src/dispatch/dispatchconstants.h
@@ -5,9 +5,17 @@
 
 namespace currantpitch::dispatch {
 
-/// Age above which a peer's load report counts as zero. Peers report every 100 ms, so a peer that
-/// has missed ten reports has most likely stopped.
-inline constexpr std::chrono::milliseconds load_report_lifetime{1000};
+/// Interval at which a changed load is reported to the peers while there are few of them.
+inline constexpr std::chrono::milliseconds min_load_report_interval{100};
+/// Number of load reports that one entry receives in a second from all its peers. Each costs a read
+/// and a wake-up, so that more of them would take most of the processor time of a small host.
+inline constexpr std::size_t max_load_reports_per_second = 320;
+/// Minimum interval at which an unchanged load is reported.
+inline constexpr std::chrono::milliseconds min_refresh_interval{500};
+/// Age above which a peer's load report counts as zero, while there are few peers: a peer that has
+/// missed ten reports has most likely stopped. With many peers, the number of reports missed.
+inline constexpr std::chrono::milliseconds min_load_report_lifetime{1000};
+inline constexpr int reports_missed_before_expiry = 3;
 /// Number of endpoints that are sampled at random for a request: this many in the entry's own
 /// failure domain, and as many among all remaining ones. Two choices keep loads nearly even. With
 /// more, entries concentrate on few endpoints until the next load reports arrive.
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -95,12 +95,12 @@
 
 void scheduler::remove_expired_reports(core::time_point now)
 {
-    if (peers_.empty() || now - oldest_report_ <= load_report_lifetime) {
+    if (peers_.empty() || now - oldest_report_ <= report_lifetime_) {
         return;
     }
     oldest_report_ = now;
     for (auto it = peers_.begin(); it != peers_.end();) {
-        if (now - it->second.reported_at > load_report_lifetime) {
+        if (now - it->second.reported_at > report_lifetime_) {
             update_peer_totals(it->second, false);
             it = peers_.erase(it);
             continue;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
+#include "dispatch/loadreporttiming.h"
 
 #include <map>
 #include <optional>
@@ -71,6 +72,7 @@
     void set_process_count(std::size_t processes)
     {
         process_count_ = processes == 0 ? 1 : processes;
+        report_lifetime_ = timing_for(process_count_).lifetime;
     }
     /// Sets the limit of requests per endpoint. The lower one of this limit and an endpoint's
     /// concurrency is its number of slots in the calculation of the fair share and retry_after.
@@ -158,6 +160,7 @@
     /// Lower bound on the time of the oldest report.
     core::time_point oldest_report_ = core::time_point::max();
     std::size_t process_count_ = 1;
+    std::chrono::milliseconds report_lifetime_ = min_load_report_lifetime;
     std::set<waiting_request, by_urgency> waiting_;
     ticket last_ticket_;
     /// Exponential moving average of service times, for estimating when a slot becomes free.
--- a/src/dispatch/tests/tst_scheduler.cpp
+++ b/src/dispatch/tests/tst_scheduler.cpp
@@ -59,7 +59,7 @@
     scheduler.set_endpoints({endpoint(a)});
     scheduler.on_peer_load(core::host_id("peer"), {{a, 2}}, now);
     CHECK(!scheduler.start(request(), now));
-    CHECK(scheduler.start(request(), now + dispatch::load_report_lifetime + 1ms).has_value());
+    CHECK(scheduler.start(request(), now + dispatch::min_load_report_lifetime + 1ms).has_value());
 }
 
 TEST(schedulers, excluded_endpoints_are_never_chosen)
@@ -293,3 +293,24 @@
     CHECK_TRUE(o.max_load <= slots);
     CHECK_TRUE(o.mean_utilization > 0.5);
 }
+
+// With 148 entries, reports every 100 ms took most of the processor time of each of them.
+TEST(schedulers, an_entry_receives_a_bounded_number_of_load_reports)
+{
+    for (const std::size_t processes : {1U, 7U, 40U, 148U, 300U, 1000U}) {
+        const dispatch::load_report_timing timing = dispatch::timing_for(processes);
+        const std::size_t received =
+            processes * 1000 / static_cast<std::size_t>(timing.interval.count());
+        CHECK(received <= dispatch::max_load_reports_per_second + processes / 100 + 1);
+        CHECK(timing.lifetime >= 2 * timing.refresh_interval);
+    }
+    LONGS_EQUAL(100, dispatch::timing_for(7).interval.count());
+}
+
+TEST(schedulers, reports_of_many_peers_stay_in_force_until_the_next_ones)
+{
+    scheduler.set_process_count(300);
+    scheduler.on_peer_load(core::host_id("peer"), {{a, 3}}, now);
+    LONGS_EQUAL(3, scheduler.load_of(a, now + 1500ms));
+    LONGS_EQUAL(0, scheduler.load_of(a, now + 4s));
+}
--- a/src/gateway/entryroster.cpp
+++ b/src/gateway/entryroster.cpp
@@ -1,6 +1,7 @@
 #include "gateway/entryroster.h"
 
 #include "core/eventlog.h"
+#include "dispatch/loadreporttiming.h"
 #include "gateway/gatewayconstants.h"
 #include "intents/resource.h"
 #include "wire/framedconnection.h"
@@ -72,12 +73,14 @@
 entry_roster::addresses(const core::failure_domain_id& caller_failure_domain, bool self_ready,
                         core::time_point now) const
 {
+    const core::duration report_lifetime = std::max<core::duration>(
+        peer_report_lifetime, dispatch::timing_for(entries_.size()).lifetime);
     std::vector<std::string> selected;
     std::vector<std::string> other_domains;
     for (const std::pair<const core::host_id, intents::host_spec>& entry : entries_) {
         const auto report = reports_.find(entry.first);
         const bool peer_ready = report != reports_.end() && report->second.ready &&
-                                now - report->second.at <= peer_report_lifetime;
+                                now - report->second.at <= report_lifetime;
         const bool usable = entry.first == self_ ? self_ready : peer_ready;
         if (usable) {
             (entry.second.failure_domain == caller_failure_domain ? selected : other_domains)
--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -37,11 +37,8 @@
 inline constexpr std::chrono::milliseconds stop_timeout_margin{400};
 /// Maximum number of addresses in one answer.
 inline constexpr std::size_t max_addresses = 64;
-/// Interval at which changed loads are reported to the peers.
-inline constexpr std::chrono::milliseconds load_report_interval{100};
-/// Number of consecutive load reports that are skipped while nothing changes.
-inline constexpr int unchanged_reports_skipped = 4;
-/// Maximum age of a peer's last report. Callers are not directed to peers with older reports.
+/// Maximum age of a peer's last report while there are few peers. Callers are not directed to peers
+/// with older reports.
 inline constexpr std::chrono::milliseconds peer_report_lifetime{2000};
 /// Interval of the periodic work on endpoints, queues, idle connections and gauges.
 inline constexpr std::chrono::milliseconds maintenance_interval{100};
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -274,15 +274,18 @@
 core::task<void> gateway_node<Site>::report_loop()
 {
     std::string last_payload;
-    int skipped = 0;
+    core::time_point sent_at{};
     while (true) {
+        const dispatch::load_report_timing timing =
+            dispatch::timing_for(roster_.registered_count());
+        const core::time_point now = core::runtime_clock::now();
         std::string payload = wire::encode(own_report());
-        if (payload != last_payload || ++skipped > unchanged_reports_skipped) {
-            skipped = 0;
+        if (payload != last_payload || now - sent_at >= timing.refresh_interval) {
+            sent_at = now;
             hub_->send_to_all(payload);
             last_payload = std::move(payload);
         }
-        co_await core::sleep_for(load_report_interval);
+        co_await core::sleep_for(timing.interval);
     }
 }
 
@@ -331,8 +334,9 @@
             co_await core::sleep_for(maintenance_interval);
             continue;
         }
-        core::spawn(executor_,
-                    serve_peer(std::make_shared<wire::framed_connection>(std::move(socket))));
+        core::spawn_contained(
+            executor_, "peer_connection",
+            serve_peer(std::make_shared<wire::framed_connection>(std::move(socket))));
     }
 }
 
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -63,6 +63,7 @@
     core::task<core::result<std::string>> read_rest(std::size_t max_bytes);
     bool reusable() const;
     bool still_idle();
+    bool has_unread_bytes() const;
     void close();
 
     asio::ip::tcp::socket socket_;
@@ -70,7 +71,7 @@
 private:
     using stream_parser = beast::http::response_parser<beast::http::buffer_body>;
 
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::optional<stream_parser> stream_;
 };
 
@@ -93,7 +94,8 @@
         co_return sent.error();
     }
     beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(64 * max_body_bytes);
+    parser.body_limit(max_response_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(max_head_bytes));
     boost::system::error_code failure;
     co_await beast::http::async_read(socket_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
@@ -121,6 +123,7 @@
 {
     stream_.emplace();
     stream_->body_limit(boost::none);
+    stream_->header_limit(static_cast<std::uint32_t>(max_head_bytes));
     boost::system::error_code failure;
     co_await beast::http::async_read_header(socket_, buffer_, *stream_,
                                             asio::redirect_error(asio::use_awaitable, failure));
@@ -184,6 +187,12 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool client_connection::implementation::has_unread_bytes() const
+{
+    boost::system::error_code ignored;
+    return socket_.is_open() && socket_.available(ignored) > 0;
+}
+
 void client_connection::implementation::close()
 {
     boost::system::error_code ignored;
@@ -280,6 +289,11 @@
     return impl_->reusable();
 }
 
+bool client_connection::has_unread_bytes() const
+{
+    return impl_->has_unread_bytes();
+}
+
 bool client_connection::still_idle() const
 {
     return impl_->still_idle();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -45,6 +45,9 @@
     bool reusable() const;
     /// Whether an idle connection has received neither data nor the end of the stream.
     bool still_idle() const;
+    /// Whether bytes have arrived that have not been read. A process that is short of processor
+    /// time reads them late.
+    bool has_unread_bytes() const;
     /// Sends the request and reads the head of the response; its body is read with read_some.
     core::task<core::result<response>> open_stream(request message, core::time_point deadline);
     /// Reads further bytes of the body; empty at the end of the body. errc::closed when it was
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -38,7 +38,7 @@
     core::task<void> refuse(unsigned status, std::string reason);
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
 };
 
 core::task<core::result<request>> server_connection::implementation::read_request()
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -72,18 +72,18 @@
             co_await core::sleep_for(std::chrono::milliseconds(100));
             continue;
         }
-        core::spawn(acceptor.get_executor(),
-                    [](core::asio::ip::tcp::socket s, Handler& h) -> core::task<void> {
-                        server_connection connection(std::move(s));
-                        while (connection.reusable()) {
-                            const core::result<request> received =
-                                co_await connection.read_request();
-                            if (!received) {
-                                co_return;
-                            }
-                            co_await h(connection, received.value());
-                        }
-                    }(std::move(socket), handler));
+        core::spawn_contained(acceptor.get_executor(), "http_connection",
+                              [](core::asio::ip::tcp::socket s, Handler& h) -> core::task<void> {
+                                  server_connection connection(std::move(s));
+                                  while (connection.reusable()) {
+                                      const core::result<request> received =
+                                          co_await connection.read_request();
+                                      if (!received) {
+                                          co_return;
+                                      }
+                                      co_await h(connection, received.value());
+                                  }
+                              }(std::move(socket), handler));
     }
 }
 
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -8,6 +8,8 @@
 #include "proxy/proxycontext.h"
 #include "proxy/routedrequest.h"
 
+#include <functional>
+
 namespace currantpitch::proxy {
 
 /// Outcome of an attempt.
@@ -25,12 +27,14 @@
 template <proxy_dialect Dialect>
 class endpoint_attempt {
 public:
-    /// is_last marks the last permitted attempt. It has no idle timeout, since no other attempt can
-    /// follow it.
+    /// can_follow tells whether another attempt could follow now. Without one there is no idle
+    /// timeout: a slow answer is better than none.
     endpoint_attempt(proxy_context& context, service_state& service, const routed_request& routed,
-                     caller_answer& answer, core::time_point deadline, bool is_last)
+                     caller_answer& answer, core::time_point deadline,
+                     std::function<bool()> can_follow)
         : context_(context), service_(service), routed_(routed), answer_(answer),
-          deadline_(deadline), is_last_(is_last), last_activity_(core::runtime_clock::now())
+          deadline_(deadline), can_follow_(std::move(can_follow)),
+          last_activity_(core::runtime_clock::now())
     {
     }
 
@@ -46,15 +50,16 @@
                                             const directory::endpoint_record& record);
     core::task<attempt_outcome> relay_stream(http::client_connection& connection,
                                              http::response head);
-    core::task<std::string_view> watch_timeouts();
+    core::task<std::string_view> watch_timeouts(const http::client_connection& connection);
     bool idle_timeout_expired(core::time_point now) const;
+    core::duration idle_timeout(core::time_point now) const;
 
     proxy_context& context_;
     service_state& service_;
     const routed_request& routed_;
     caller_answer& answer_;
     core::time_point deadline_;
-    bool is_last_;
+    std::function<bool()> can_follow_;
     core::time_point last_activity_;
 };
 
@@ -84,7 +89,7 @@
         co_return outcome;
     }
     std::variant<attempt_outcome, std::string_view> first =
-        co_await (exchange(connection.value(), record) || watch_timeouts());
+        co_await (exchange(connection.value(), record) || watch_timeouts(connection.value()));
     if (first.index() == 1) {
         outcome.result = attempt_result::unknown;
         outcome.reason = std::get<1>(first);
@@ -157,8 +162,8 @@
         }
         last_activity_ = core::runtime_clock::now();
         const answer_metadata metadata = Dialect::read_answer(head.value());
-        const bool is_stream_answer =
-            stream() && metadata.genuine && head.value().status / 100 == 2 && !metadata.not_run;
+        const bool is_stream_answer = stream() && metadata.genuine && !metadata.id.empty() &&
+                                      head.value().status / 100 == 2 && !metadata.not_run;
         const bool mismatched = !metadata.id.empty() && metadata.id != routed_.request.id;
         if (is_stream_answer && !mismatched) {
             outcome = co_await relay_stream(connection, std::move(head.value()));
@@ -179,6 +184,11 @@
                 outcome.reason = "endpoint_refused";
                 outcome.work = dispatch::work_outcome::refused;
             }
+            else if (metadata.id.empty()) {
+                // It may belong to an earlier request on this connection.
+                outcome.reason = "answer_without_id";
+                co_return outcome;
+            }
             else if (!metadata.genuine) {
                 outcome.reason = "answer_not_genuine";
                 co_return outcome;
@@ -264,33 +274,40 @@
 bool endpoint_attempt<Dialect>::idle_timeout_expired(core::time_point now) const
 {
     const core::duration idle_duration = now - last_activity_;
-    const bool can_switch_endpoint = routes::may_retry(routed_.route->retry) && !is_last_;
-    if (!can_switch_endpoint || answer_.writing()) {
+    if (!routes::may_retry(routed_.route->retry) || answer_.writing() ||
+        idle_duration <= idle_timeout(now)) {
         return false;
     }
+    return can_follow_();
+}
+
+template <proxy_dialect Dialect>
+core::duration endpoint_attempt<Dialect>::idle_timeout(core::time_point now) const
+{
     if (!stream()) {
         const core::duration answer_timeout = std::chrono::duration_cast<core::duration>(
             routed_.request.timeout * answer_timeout_fraction);
-        return idle_duration > std::max<core::duration>(answer_timeout, min_answer_timeout);
-    }
-    if (idle_duration > stream_idle_timeout) {
-        return true;
+        return std::max<core::duration>(answer_timeout, min_answer_timeout);
     }
     const bool other_streams_progress = now - service_.last_progress < max_service_progress_age;
-    const core::duration stream_timeout = answer_.begun() ? stream_idle_timeout_if_others_progress
-                                                          : first_event_timeout_if_others_progress;
-    return other_streams_progress && idle_duration > stream_timeout;
+    if (!other_streams_progress) {
+        return stream_idle_timeout;
+    }
+    return answer_.begun() ? stream_idle_timeout_if_others_progress
+                           : first_event_timeout_if_others_progress;
 }
 
 template <proxy_dialect Dialect>
-core::task<std::string_view> endpoint_attempt<Dialect>::watch_timeouts()
+core::task<std::string_view>
+endpoint_attempt<Dialect>::watch_timeouts(const http::client_connection& connection)
 {
     while (true) {
         const core::time_point now = core::runtime_clock::now();
         if (now >= deadline_) {
             co_return "out_of_time";
         }
-        if (idle_timeout_expired(now)) {
+        // The endpoint is not silent when this process is late in reading its answer.
+        if (idle_timeout_expired(now) && !connection.has_unread_bytes()) {
             co_return "silent";
         }
         core::timer timer(context_.executor);
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -28,6 +28,9 @@
 
 private:
     core::task<core::result<dispatch::work_queue::slot>> acquire_slot();
+    /// Whether another endpoint, the route and the retry allowance permit an attempt after this
+    /// one.
+    bool another_attempt_possible() const;
     /// Input for decide. Acquires a retry from the service's allowance if another attempt is
     /// possible.
     retry_context evaluate_retry(attempt_result result);
@@ -73,7 +76,7 @@
         tried_endpoints_.insert(slot.endpoint());
         attempt_started_at_ = core::runtime_clock::now();
         endpoint_attempt<Dialect> attempt(context_, service_, routed_, answer_, deadline_,
-                                          attempts_ >= routed_.route->max_attempts);
+                                          [this] { return another_attempt_possible(); });
         attempt_outcome outcome = co_await attempt.run(slot);
         slot.set_outcome(outcome.work);
         may_have_run_ = may_have_run_ || outcome.result == attempt_result::unknown ||
@@ -113,6 +116,16 @@
     co_return acquired;
 }
 
+template <proxy_dialect Dialect>
+bool request_flow<Dialect>::another_attempt_possible() const
+{
+    const core::time_point now = core::runtime_clock::now();
+    dispatch::dispatch_request next;
+    next.excluded = tried_endpoints_;
+    return attempts_ < routed_.route->max_attempts && deadline_ - now >= min_time_left &&
+           service_.queue.slot_scheduler().has_candidate(next) && service_.retries.has_retry(now);
+}
+
 template <proxy_dialect Dialect>
 retry_context request_flow<Dialect>::evaluate_retry(attempt_result result)
 {
--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -318,7 +318,7 @@
     std::uint64_t hash = 0;
     for (addressed_order& o : orders) {
         if (engine_.state() && o.rank == engine_.state()->rank) {
-            core::spawn(context_.executor, execute_locally(std::move(o)));
+            core::spawn_contained(context_.executor, "engine_order", execute_locally(std::move(o)));
             continue;
         }
         for (const std::shared_ptr<session>& s : sessions_) {
--- a/src/rankcontrol/enginemonitor.h
+++ b/src/rankcontrol/enginemonitor.h
@@ -42,6 +42,9 @@
     core::task<void> read_held_experts();
     core::task<void> read_counts();
     std::chrono::milliseconds counts_interval() const;
+    /// Whether the engine is asked for its counts at this poll. In a large group it is asked only
+    /// at the beginning and the end of a counting window.
+    bool counts_due(core::time_point now);
 
     agent_context& context_;
     Port port_;
@@ -54,6 +57,8 @@
     core::time_point active_layout_since_;
     std::vector<std::vector<expert>> held_experts_;
     std::pair<group_epoch, core::map_version> held_layout_id_;
+    /// Beginning of the counting window; empty in a small group.
+    std::optional<core::time_point> counting_since_;
     /// Counts at the last poll, and the increase since the poll before it. The increase is not
     /// accumulated over polls: demand shifts within a second, and older counts would hide that.
     expert_counts last_counts_;
@@ -131,7 +136,8 @@
 core::task<void> engine_monitor<Port>::read_counts()
 {
     const std::size_t layers = context_.profile ? context_.profile->expert_layers : 0;
-    if (layers == 0) {
+    const core::time_point now = core::runtime_clock::now();
+    if (layers == 0 || !counts_due(now)) {
         co_return;
     }
     const core::incarnation incarnation = state_->incarnation;
@@ -152,6 +158,31 @@
     }
     last_counts_ = counts;
     counted_incarnation_ = incarnation;
+    if (counting_since_ && now - *counting_since_ < counting_window) {
+        // The first poll after a pause; the counts since the previous one are old.
+        new_counts_.clear();
+    }
+}
+
+template <rank_port Port>
+bool engine_monitor<Port>::counts_due(core::time_point now)
+{
+    const std::chrono::milliseconds interval = counts_interval();
+    if (interval <= 2 * counting_window) {
+        counting_since_.reset();
+        return true;
+    }
+    if (!new_counts_.empty()) {
+        return false;
+    }
+    if (!counting_since_ || *counting_since_ < counts_sent_at_) {
+        const bool due = now - counts_sent_at_ >= interval - counting_window;
+        if (due) {
+            counting_since_ = now;
+        }
+        return due;
+    }
+    return now - *counting_since_ >= counting_window;
 }
 
 template <rank_port Port>
--- a/src/rankcontrol/memberside.h
+++ b/src/rankcontrol/memberside.h
@@ -192,7 +192,8 @@
         core::result<rank_order> order = wire::decode<rank_order>(frame.value());
         if (order) {
             // Reading continues meanwhile; otherwise the candidate would seem to be gone.
-            core::spawn(context_.executor, execute_order(connection, std::move(order.value())));
+            core::spawn_contained(context_.executor, "engine_order",
+                                  execute_order(connection, std::move(order.value())));
         }
     }
 }
--- a/src/rankcontrol/rankagentnode.h
+++ b/src/rankcontrol/rankagentnode.h
@@ -194,8 +194,8 @@
             co_await core::sleep_for(connect_retry_delay);
             continue;
         }
-        core::spawn(
-            context_.executor,
+        core::spawn_contained(
+            context_.executor, "member_connection",
             candidate_.serve_member(std::make_shared<wire::framed_connection>(std::move(socket))));
     }
 }
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -31,8 +31,11 @@
 /// in case the leader lost track of that layout.
 inline constexpr std::chrono::milliseconds held_experts_report_delay{3000};
 /// Limit of the expert counts that all members together send to the leader. The leader's host may
-/// have a link of 1 MB/s that its engine needs too.
-inline constexpr double counts_bytes_per_second = 160'000;
+/// have a link of 750 KB/s; half of it is left to other messages.
+inline constexpr double counts_bytes_per_second = 280'000;
+/// Time over which a member of a large group counts before it sends the counts. Longer than between
+/// two polls, as its counts are sent rarely; short, as demand shifts within a second.
+inline constexpr std::chrono::milliseconds counting_window{480};
 /// Timeout of one call to the engine on the same host. It usually answers within a few
 /// milliseconds.
 inline constexpr std::chrono::milliseconds engine_call_timeout{150};
