Do not resend a stream while its whole group stands still

Cause: a stream without events for 1.7 s was sent to another rank even when no stream of the service made progress.

Change: while other streams of the service run and none of them makes progress, a silent stream is left where it is until its deadline. A single stream is still resumed after 1.7 s.

Result: tst_requestflow's stream_is_not_sent_to_another_rank_while_the_whole_group_pauses fails without the change and passes with it.

--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -54,6 +54,23 @@
     bool idle_timeout_expired(core::time_point now) const;
     core::duration idle_timeout(core::time_point now) const;
 
+    /// Counts a stream as running while its attempt lasts.
+    class stream_count {
+    public:
+        stream_count(service_state& service, bool is_stream)
+            : service_(service), streams_(is_stream ? 1 : 0)
+        {
+            service_.running_streams += streams_;
+        }
+        stream_count(const stream_count&) = delete;
+        stream_count& operator=(const stream_count&) = delete;
+        ~stream_count() { service_.running_streams -= streams_; }
+
+    private:
+        service_state& service_;
+        std::size_t streams_;
+    };
+
     proxy_context& context_;
     service_state& service_;
     const routed_request& routed_;
@@ -88,6 +105,7 @@
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
     }
+    const stream_count counted(service_, stream());
     std::variant<attempt_outcome, std::string_view> first =
         co_await (exchange(connection.value(), record) || watch_timeouts(connection.value()));
     if (first.index() == 1) {
@@ -291,7 +309,9 @@
     }
     const bool other_streams_progress = now - service_.last_progress < max_service_progress_age;
     if (!other_streams_progress) {
-        return stream_idle_timeout;
+        // When all streams of a service pause, its group stands still. Another rank of it would
+        // only get the request later, perhaps when its caller has left.
+        return service_.running_streams > 1 ? core::duration::max() : stream_idle_timeout;
     }
     return answer_.begun() ? stream_idle_timeout_if_others_progress
                            : first_event_timeout_if_others_progress;
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -18,8 +18,8 @@
 inline constexpr double answer_timeout_fraction = 0.4;
 /// Lower bound on the time after which such a request is sent to another endpoint.
 inline constexpr std::chrono::milliseconds min_answer_timeout{300};
-/// Idle time after which a stream is resumed at another endpoint in any case. Engines that depend
-/// on a failed one abort their work after 1.5 s.
+/// Idle time after which a stream is resumed at another endpoint if no other stream of the service
+/// is running. Engines that depend on a failed one abort their work after 1.5 s.
 inline constexpr std::chrono::milliseconds stream_idle_timeout{1700};
 /// Idle time after which a stream is resumed at another endpoint if the service's other streams
 /// make progress.
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -29,6 +29,8 @@
     dispatch::concurrency_controller concurrency_controller;
     /// Time of the last event of any of the service's streams.
     core::time_point last_progress;
+    /// Number of streams that are at an endpoint.
+    std::size_t running_streams = 0;
 };
 
 /// Bounds that the deployment sets.
--- a/src/proxy/tests/tst_requestflow.cpp
+++ b/src/proxy/tests/tst_requestflow.cpp
@@ -22,7 +22,7 @@
         }
         r.host = received.header_value("Host").value_or("");
         r.key = received.header_value("Key");
-        r.timeout = 2s;
+        r.timeout = 3s;
         r.message = std::move(received);
         return r;
     }
@@ -185,6 +185,7 @@
     scripted_endpoint a{context, "a"};
     scripted_endpoint b{context, "b"};
     std::string answer;
+    std::chrono::milliseconds route_timeout{1500};
 
     void setup() override
     {
@@ -193,6 +194,11 @@
         shared.started_at = core::runtime_clock::now() - 2s;
         core::spawn(context.get_executor(), http::serve(callers, handler));
     }
+    void configure(routes::retry_policy retry, std::chrono::milliseconds timeout)
+    {
+        route_timeout = timeout;
+        configure(retry);
+    }
     void configure(routes::retry_policy retry, bool requires_key = false)
     {
         routes::configuration c;
@@ -201,7 +207,7 @@
         r.host = "desk";
         r.path_prefix = "/";
         r.retry = retry;
-        r.timeout = 1500ms;
+        r.timeout = route_timeout;
         r.target_latency = 200ms;
         r.target_gap = 100ms;
         r.max_attempts = 2;
@@ -441,6 +447,30 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
+// A host of a group stood still for four seconds. Streams were sent to a second rank, which read
+// them when their callers had left.
+TEST(request_flows, stream_is_not_sent_to_another_rank_while_the_whole_group_pauses)
+{
+    configure(routes::retry_policy::resumable_stream, 2500ms);
+    shared.service(core::service_id("s")).running_streams = 5;
+    a.replies = {{stream_head("7") + events(1, 2), reply::after_reply::close,
+                  events(3, 3) + "0\r\n\r\n", 1000ms}};
+    a.pause_before_repeated = 1900ms;
+    send_request();
+    LONGS_EQUAL(0, b.received_requests.size());
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
+TEST(request_flows, single_silent_stream_is_resumed_at_another_rank)
+{
+    configure(routes::retry_policy::resumable_stream, 3000ms);
+    a.replies = {{stream_head("7") + events(1, 2), reply::after_reply::hang}};
+    b.replies = {{stream_head("7") + events(3, 3) + "0\r\n\r\n"}};
+    send_request();
+    LONGS_EQUAL(1, b.received_requests.size());
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
 TEST(request_flows, truncated_answer_is_not_forwarded)
 {
     configure(routes::retry_policy::idempotent);
