Repeat a watch only for changes that it has not returned; write up the sitting

Cause: the hint for a lost watch answer compared the store's revision with the one known when the call was sent, so a change of an endpoint that the watch had just returned caused another call. Counts that no leader took were kept until one came. A running layout could leave the history after four failed switches, and complete layouts would be sent again.

Change: the revision from which the watch continues counts as known; counts older than two intervals are dropped; the history holds twelve layouts.

Result: a_change_that_was_seen_costs_no_additional_call in tst_kindfeed.

--- a/src/objectstore/kindfeed.h
+++ b/src/objectstore/kindfeed.h
@@ -7,6 +7,7 @@
 #include "objectstore/objectstoreconstants.h"
 #include "objectstore/storeclient.h"
 
+#include <algorithm>
 #include <concepts>
 #include <functional>
 #include <random>
@@ -82,8 +83,8 @@
 private:
     core::task<core::result<core::revision>> list();
     core::task<core::error> follow(core::revision from);
-    /// Records what is known when a watch call is sent.
-    void begin_call();
+    /// Records what is known when a watch call from that revision is sent.
+    void begin_call(core::revision from);
     /// Ends when the current watch call should have been answered already.
     core::task<void> wait_for_missing_answer();
     void report_failure(std::string_view call, const core::error& e);
@@ -97,8 +98,8 @@
     std::mt19937_64 random_;
     feed_health health_;
     core::notifier hint_;
-    /// Highest revision that another feed has reported, and the one that was known when the current
-    /// watch call was sent.
+    /// Highest revision that another feed has reported, and the highest one that was known when the
+    /// current watch call was sent.
     core::revision store_revision_;
     core::revision revision_at_call_;
     core::time_point call_sent_at_;
@@ -154,7 +155,7 @@
     while (true) {
         const call_context call{kind_, core::runtime_clock::now() + call_timeout,
                                 timing_.watch_wait};
-        begin_call();
+        begin_call(from);
         core::result<typename Store::watch_type> opened = co_await store_.watch(kinds, from, call);
         core::error failure{core::errc::closed, ""};
         if (!opened) {
@@ -191,7 +192,7 @@
                     co_await core::sleep_for(timing_.batch_delay);
                 }
                 changed = false;
-                begin_call();
+                begin_call(from);
             }
         }
         if (failure.code == core::errc::stale) {
@@ -207,10 +208,10 @@
 }
 
 template <store_client Store, feed_sink Sink>
-void kind_feed<Store, Sink>::begin_call()
+void kind_feed<Store, Sink>::begin_call(core::revision from)
 {
     call_sent_at_ = core::runtime_clock::now();
-    revision_at_call_ = store_revision_;
+    revision_at_call_ = std::max(store_revision_, from);
     doubtful_ = false;
 }
 
--- a/src/objectstore/tests/tst_kindfeed.cpp
+++ b/src/objectstore/tests/tst_kindfeed.cpp
@@ -94,6 +94,20 @@
     LONGS_EQUAL(before, store.calls["endpoint"]);
 }
 
+TEST(kind_feeds, a_change_that_was_seen_costs_no_additional_call)
+{
+    start();
+    run.advance(2s);
+    const std::uint64_t before = store.calls["endpoint"];
+    for (int i = 0; i < 10; ++i) {
+        write("endpoint", "e" + std::to_string(i));
+        run.advance(3s);
+    }
+    LONGS_EQUAL(10, endpoint_sink.changed_at.size());
+    // The stand-in's watch stays open over its events.
+    LONGS_EQUAL(before, store.calls["endpoint"]);
+}
+
 TEST(kind_feeds, changes_of_other_kinds_cost_at_most_one_call_each_second)
 {
     start();
--- a/src/rankcontrol/enginemonitor.h
+++ b/src/rankcontrol/enginemonitor.h
@@ -172,9 +172,15 @@
         counting_since_.reset();
         return true;
     }
-    if (!new_counts_.empty()) {
+    if (!new_counts_.empty() && now - *counting_since_ < 2 * interval) {
         return false;
     }
+    if (!new_counts_.empty()) {
+        // There was no leader to send them to.
+        new_counts_.clear();
+        counting_since_ = now;
+        return true;
+    }
     if (!counting_since_ || *counting_since_ < counts_sent_at_) {
         const bool due = now - counts_sent_at_ >= interval - counting_window;
         if (due) {
--- a/src/rankcontrol/layouthistory.h
+++ b/src/rankcontrol/layouthistory.h
@@ -21,7 +21,7 @@
 
 private:
     /// Number of layouts that are kept; the latest ones.
-    static constexpr std::size_t max_layouts = 4;
+    static constexpr std::size_t max_layouts = 12;
 
     std::map<core::map_version, std::shared_ptr<const layout>> layouts_;
 };
