--- a/src/proxy/tests/tst_troubledendpoints.cpp
+++ b/src/proxy/tests/tst_troubledendpoints.cpp
@@ -19,7 +19,7 @@
     configure(routes::retry_policy::at_most_once);
     for (const std::chrono::milliseconds delay : {0ms, 1ms, 50ms, 250ms}) {
         answer.clear();
-        // The second copy arrives as long after the first one as the next request is sent.
+        // The second copy comes with the first one. The next request is sent after the delay.
         a.replies = {{full_answer("7", "first") + full_answer("7", "first")},
                      {full_answer("7", "second")}};
         send_request();
