--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -57,6 +57,8 @@
     /// endpoint with a newer incarnation is registered at its address.
     bool usable(const core::endpoint_id& endpoint) const;
     bool empty() const { return records_.empty(); }
+    /// Number of removed endpoints that stay in use until the re-registration period ends.
+    std::size_t missing_count() const { return missing_.size(); }
 
 private:
     bool in_reregistration_period(core::time_point now) const;
--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -78,7 +78,8 @@
         context_.apply_endpoints();
         core::log_event("endpoints_listed")
             .field("revision", listing.at)
-            .field("endpoints", records.size());
+            .field("endpoints", records.size())
+            .field("missing", context_.endpoints.missing_count());
     }
     void on_change(const objectstore::object& o)
     {
@@ -92,19 +93,21 @@
         if (!changed) {
             return;
         }
-        core::log_event("endpoint_changed")
-            .field("endpoint", name)
-            .field("revision", o.version)
-            .field("state", !r                   ? "gone"
-                            : r.value().draining ? "draining"
-                                                 : "ready");
         if (r) {
             context_.endpoints.apply(r.value());
         }
         else {
             context_.endpoints.on_removal(name, core::runtime_clock::now());
         }
-        if (!context_.endpoints.usable(name)) {
+        const bool usable = context_.endpoints.usable(name);
+        core::log_event("endpoint_changed")
+            .field("endpoint", name)
+            .field("revision", o.version)
+            .field("state", !r                   ? "gone"
+                            : r.value().draining ? "draining"
+                                                 : "ready")
+            .field("usable", usable);
+        if (!usable) {
             context_.connections.drop(name);
         }
         context_.apply_endpoints();
