Test that failed calls do not keep a removed endpoint in use (fails)

Each recovery from a failed call starts the re-registration period of 2 s anew for every missing endpoint.

Result: fails: 'expected 1, but was 0' endpoints dropped 2 s after the recovery; the other six tests of the directory pass.

--- a/src/directory/tests/tst_directory.cpp
+++ b/src/directory/tests/tst_directory.cpp
@@ -89,3 +89,16 @@
     known.on_removal(a, now);
     CHECK(known.find(a) == nullptr);
 }
+
+// Calls that fail now and then must not extend the time for which a removed endpoint gets requests.
+TEST(directories, failed_calls_do_not_keep_a_removed_endpoint_in_use)
+{
+    known.on_listing({record("a"), record("b")}, now);
+    known.on_store_recovered(now);
+    known.on_removal(a, now + 100ms);
+    known.on_store_recovered(now + 1500ms);
+    known.on_listing({record("b")}, now + 1500ms);
+    LONGS_EQUAL(1, known.expire(now + 2000ms).size());
+    CHECK(!known.usable(a));
+    CHECK(known.usable(b));
+}
