Drop a missing endpoint at the end of the period in which it was missed

Cause: endpoint_directory had one re-registration period for all missing endpoints, and each recovery from a failed call started it anew. While calls fail now and then, an endpoint that left without draining stayed in use without a bound.

Change: each missing endpoint has its own time at which it is dropped, set when it is first missed. A period that begins later does not move it.

--- a/src/directory/endpointdirectory.cpp
+++ b/src/directory/endpointdirectory.cpp
@@ -1,6 +1,7 @@
 #include "directory/endpointdirectory.h"
 
 #include <algorithm>
+#include <set>
 
 namespace currantpitch::directory {
 
@@ -44,7 +45,7 @@
     // A draining endpoint is not expected to register again.
     const endpoint_record* const known = find(endpoint);
     if (known != nullptr && !known->draining && in_reregistration_period(now)) {
-        missing_.insert(endpoint);
+        missing_.try_emplace(endpoint, *store_recovered_at_ + reregistration_period);
         return;
     }
     missing_.erase(endpoint);
@@ -54,14 +55,15 @@
 std::vector<core::endpoint_id> endpoint_directory::expire(core::time_point now)
 {
     std::vector<core::endpoint_id> dropped;
-    if (missing_.empty() || in_reregistration_period(now)) {
-        return dropped;
-    }
-    for (const core::endpoint_id& endpoint : missing_) {
-        records_.erase(endpoint);
-        dropped.push_back(endpoint);
+    for (auto it = missing_.begin(); it != missing_.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        records_.erase(it->first);
+        dropped.push_back(it->first);
+        it = missing_.erase(it);
     }
-    missing_.clear();
     return dropped;
 }
 
--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -8,7 +8,6 @@
 #include <chrono>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +43,8 @@
     /// Adds an endpoint or replaces its registration.
     void apply(const endpoint_record& record);
     /// Removes an endpoint. During the re-registration period, it is only marked as missing unless
-    /// it was draining.
+    /// it was draining. It is dropped at the end of that period, even if another one begins
+    /// meanwhile.
     void on_removal(const core::endpoint_id& endpoint, core::time_point now);
     /// Starts the re-registration period when the store is available again after an outage.
     void on_store_recovered(core::time_point now);
@@ -65,8 +65,9 @@
     bool superseded(const endpoint_record& record) const;
 
     std::map<core::endpoint_id, endpoint_record> records_;
-    /// Endpoints that were removed after the recovery of the store and are not dropped yet.
-    std::set<core::endpoint_id> missing_;
+    /// Endpoints that were removed after the recovery of the store, with the times at which they
+    /// are dropped.
+    std::map<core::endpoint_id, core::time_point> missing_;
     std::optional<core::time_point> store_recovered_at_;
 };
 
