--- a/src/core/identifiers.h
+++ b/src/core/identifiers.h
@@ -50,6 +50,9 @@
 /// A group of ranks that execute each step together. Unique within its service.
 using group_id = name<struct group_tag>;
 
+/// A part of a prompt that several requests may share.
+using prompt_part_id = name<struct prompt_part_tag>;
+
 /// Random number generated when a process starts. Distinguishes successive processes of one host.
 using incarnation = number<struct incarnation_tag>;
 /// Number of a session between two processes; increases with each reconnection.
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -19,6 +19,9 @@
     std::optional<http::response> answer;
     std::string_view reason;
     dispatch::work_outcome work = dispatch::work_outcome::broken;
+    /// The endpoint has sent the head of its answer, and the first event or the complete body.
+    bool head_received = false;
+    bool progressed = false;
 };
 
 /// One attempt at an endpoint. Connects, sends the request and reads the endpoint's answer; a
@@ -78,6 +81,8 @@
     core::time_point deadline_;
     std::function<bool()> can_follow_;
     core::time_point last_activity_;
+    bool head_received_ = false;
+    bool progressed_ = false;
 };
 
 template <proxy_dialect Dialect>
@@ -111,9 +116,13 @@
     if (first.index() == 1) {
         outcome.result = attempt_result::unknown;
         outcome.reason = std::get<1>(first);
-        co_return outcome;
     }
-    co_return std::get<0>(std::move(first));
+    else {
+        outcome = std::get<0>(std::move(first));
+    }
+    outcome.head_received = head_received_;
+    outcome.progressed = progressed_;
+    co_return outcome;
 }
 
 template <proxy_dialect Dialect>
@@ -184,6 +193,7 @@
                                       head.value().status / 100 == 2 && !metadata.not_run;
         const bool mismatched = !metadata.id.empty() && metadata.id != routed_.request.id;
         if (is_stream_answer && !mismatched) {
+            head_received_ = true;
             outcome = co_await relay_stream(connection, std::move(head.value()));
         }
         else {
@@ -219,6 +229,8 @@
                     failed ? dispatch::work_outcome::failed : dispatch::work_outcome::done;
                 outcome.answer = std::move(head.value());
                 outcome.answer->body = body.value();
+                head_received_ = true;
+                progressed_ = true;
             }
         }
         const bool reuse =
@@ -263,6 +275,7 @@
             continue;
         }
         const core::time_point now = core::runtime_clock::now();
+        progressed_ = true;
         last_activity_ = now;
         service_.last_progress = now;
         if (last_event_time != core::time_point{}) {
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -51,6 +51,10 @@
 inline constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 /// Maximum size of a single event of a stream, in bytes.
 inline constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+/// Maximum number of parts of a prompt that are taken into account, and the maximum length of their
+/// ids, in bytes.
+inline constexpr std::size_t max_shared_parts = 16;
+inline constexpr std::size_t max_part_id_bytes = 64;
 /// Maximum number of answers with the id of another request that are skipped on one connection.
 inline constexpr int max_mismatched_answers = 2;
 
--- a/src/proxy/proxymessages.h
+++ b/src/proxy/proxymessages.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace currantpitch::proxy {
 
@@ -25,6 +26,9 @@
     std::chrono::milliseconds timeout{};
     /// Id of the last event of the stream that the caller has received.
     std::optional<std::uint64_t> last_event_id;
+    /// Parts of the prompt that other requests may share, in their order. At most
+    /// max_shared_parts.
+    std::vector<core::prompt_part_id> shared_parts;
     http::request message;
 };
 
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/eventlog.h"
+#include "core/text.h"
 #include "proxy/endpointattempt.h"
 
 #include <optional>
@@ -216,6 +217,9 @@
         .field("why", outcome.reason)
         .field("took_ms", core::to_milliseconds(now - attempt_started_at_))
         .field("events", answer_.events().new_event_count())
+        .field("head", outcome.head_received)
+        .field("progress", outcome.progressed)
+        .field("parts", core::join(routed_.request.shared_parts, ','))
         .field("next", to_string(step));
 }
 
