--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/eventlog.h"
+#include "core/text.h"
 #include "proxy/requesthandler.h"
 
 #include "CppUTest/TestHarness.h"
@@ -25,6 +26,9 @@
         r.host = received.header_value("Host").value_or("");
         r.key = received.header_value("Key");
         r.timeout = 3s;
+        for (const std::string& part : core::split(received.header_value("Parts").value_or(""), ',')) {
+            r.shared_parts.emplace_back(part);
+        }
         r.message = std::move(received);
         return r;
     }
@@ -56,9 +60,9 @@
 };
 
 /// Bytes that an endpoint sends, and whether its connection then stays open, closes, is reset or
-/// hangs.
+/// hangs, or the endpoint crashes.
 struct reply {
-    enum class after_reply { keep, close, reset, hang };
+    enum class after_reply { keep, close, reset, hang, crash };
     std::string bytes;
     after_reply end = after_reply::keep;
     /// Bytes that are sent again and again after the others, at the interval, until the connection
@@ -158,7 +162,10 @@
             if (r.end == reply::after_reply::hang) {
                 co_await core::sleep_for(5s);
             }
-            if (r.end == reply::after_reply::reset) {
+            if (r.end == reply::after_reply::crash) {
+                stop_listening();
+            }
+            if (r.end == reply::after_reply::reset || r.end == reply::after_reply::crash) {
                 // Lets the written bytes arrive before the reset.
                 co_await core::sleep_for(20ms);
                 s.set_option(asio::socket_base::linger(true, 0), failure);
