Hold back requests with parts of prompts that crash endpoints

Cause: the gateways charged each crash to the endpoint and kept nothing of what it had been running, so each repeat and each new request with the part crashed the next one.

Change: part_guard, one for each service of a gateway, feeds part_suspects with what attempts show and asks it before a request waits, before it is sent and before a repeat. Held requests get 503 at once with the time after which they may return. part_report_exchange tells the other gateways.

--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -3,6 +3,7 @@
 #include "gateway/feedsinks.h"
 #include "gateway/gatewayconstants.h"
 #include "gateway/metricshandler.h"
+#include "gateway/partreportexchange.h"
 #include "intents/hostregistration.h"
 #include "membership/peerhub.h"
 #include "objectstore/kindpoll.h"
@@ -65,6 +66,7 @@
     proxy::proxy_context context_;
     entry_roster roster_;
     std::shared_ptr<membership::peer_hub> hub_;
+    part_report_exchange part_reports_;
     typename Site::store store_;
     configuration_sink<Site> configuration_sink_;
     endpoint_sink<Site> endpoint_sink_;
@@ -103,7 +105,7 @@
       hub_(std::make_shared<membership::peer_hub>(
           executor,
           membership::peer_hello{settings_.host, settings_.failure_domain, incarnation_})),
-      store_(executor, settings_.store_address),
+      part_reports_(context_, *hub_), store_(executor, settings_.store_address),
       configuration_sink_(context_, [this] { context_.apply_endpoints(); }),
       endpoint_sink_(context_), host_sink_(roster_, [this] { on_hosts(); }),
       configuration_feed_(executor, store_, Site::configuration_key().kind, configuration_sink_,
@@ -120,8 +122,9 @@
                               const std::string& payload) {
         on_peer_message(peer, type, payload);
     };
-    hub_->on_peer_up = [](const membership::peer_hello& h) {
+    hub_->on_peer_up = [this](const membership::peer_hello& h) {
         core::log_event("peer_up").field("peer", h.host).field("incarnation", h.incarnation);
+        part_reports_.on_peer_up(h.host);
     };
     hub_->on_peer_down = [this](const membership::peer_hello& h) {
         core::log_event("peer_down").field("peer", h.host).field("incarnation", h.incarnation);
@@ -233,6 +236,10 @@
 void gateway_node<Site>::on_peer_message(const core::host_id& peer, std::uint8_t type,
                                          const std::string& payload)
 {
+    if (type == admission::part_report_type) {
+        part_reports_.on_report(peer, payload);
+        return;
+    }
     if (type != dispatch::load_report_type) {
         core::counter_for("peer_messages_unknown_total").add();
         return;
@@ -308,6 +315,7 @@
             proxy::service_state& s = *entry.second;
             s.queue.slot_scheduler().set_limit(s.concurrency_controller.limit());
             s.queue.process_waiting();
+            s.guard.expire(now);
         }
         core::gauge_for("requests_in_flight").set(static_cast<double>(context_.in_flight));
         core::gauge_for("idle_connections").set(static_cast<double>(context_.connections.size()));
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -53,6 +53,10 @@
                                             const directory::endpoint_record& record);
     core::task<attempt_outcome> relay_stream(http::client_connection& connection,
                                              http::response head);
+    /// Records the attempt as evidence against the request if the endpoint has crashed.
+    core::task<void> record_crash(const directory::endpoint_record& record);
+    /// Records that the endpoint sent an event or its whole answer.
+    void on_progress();
     core::task<std::string_view> watch_timeouts(const http::client_connection& connection);
     bool idle_timeout_expired(core::time_point now) const;
     core::duration idle_timeout(core::time_point now) const;
@@ -110,6 +114,11 @@
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
     }
+    if (!service_.guard.admit(routed_.request.id, routed_.request.shared_parts)) {
+        outcome.reason = part_suspected_reason;
+        outcome.work = dispatch::work_outcome::abandoned;
+        co_return outcome;
+    }
     const stream_count counted(service_, stream());
     std::variant<attempt_outcome, std::string_view> first =
         co_await (exchange(connection.value(), record) || watch_timeouts(connection.value()));
@@ -122,9 +131,34 @@
     }
     outcome.head_received = head_received_;
     outcome.progressed = progressed_;
+    if (outcome.result == attempt_result::not_run) {
+        service_.guard.on_not_run(routed_.request.shared_parts);
+    }
+    else if (outcome.result == attempt_result::unknown && !progressed_) {
+        co_await record_crash(record);
+    }
     co_return outcome;
 }
 
+template <proxy_dialect Dialect>
+core::task<void> endpoint_attempt<Dialect>::record_crash(const directory::endpoint_record& record)
+{
+    const core::time_point failed_at = core::runtime_clock::now();
+    if (routed_.request.shared_parts.empty() || failed_at >= deadline_ ||
+        !context_.endpoints.usable(record.endpoint)) {
+        co_return;
+    }
+    // An endpoint that loses an answer still accepts connections.
+    http::client_connection check(context_.executor);
+    const core::result<void> connected =
+        co_await check.connect(record.address, failed_at + crash_check_timeout);
+    if (!connected) {
+        service_.guard.on_crash(routed_.request.id,
+                                {routed_.request.shared_parts, record.endpoint, record.incarnation,
+                                 head_received_, failed_at});
+    }
+}
+
 template <proxy_dialect Dialect>
 core::task<core::result<http::client_connection>>
 endpoint_attempt<Dialect>::connect(const directory::endpoint_record& record)
@@ -230,7 +264,7 @@
                 outcome.answer = std::move(head.value());
                 outcome.answer->body = body.value();
                 head_received_ = true;
-                progressed_ = true;
+                on_progress();
             }
         }
         const bool reuse =
@@ -275,7 +309,7 @@
             continue;
         }
         const core::time_point now = core::runtime_clock::now();
-        progressed_ = true;
+        on_progress();
         last_activity_ = now;
         service_.last_progress = now;
         if (last_event_time != core::time_point{}) {
@@ -301,6 +335,15 @@
     co_return outcome;
 }
 
+template <proxy_dialect Dialect>
+void endpoint_attempt<Dialect>::on_progress()
+{
+    if (!progressed_) {
+        progressed_ = true;
+        service_.guard.on_progress(routed_.request.shared_parts);
+    }
+}
+
 template <proxy_dialect Dialect>
 bool endpoint_attempt<Dialect>::idle_timeout_expired(core::time_point now) const
 {
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <string_view>
 
 namespace currantpitch::proxy {
 
@@ -11,6 +12,10 @@
 /// Timeout for connecting to an endpoint. A round trip between failure domains takes a few
 /// milliseconds, and a lost SYN packet is retransmitted only after a second.
 inline constexpr std::chrono::milliseconds connect_timeout{400};
+/// Reason of a refusal because the prompt has parts that are suspected of crashing endpoints.
+inline constexpr std::string_view part_suspected_reason = "part_suspected";
+/// Timeout of the connection that shows whether an endpoint that broke off has crashed.
+inline constexpr std::chrono::milliseconds crash_check_timeout{200};
 /// Minimum time left before the deadline for sending a request to an endpoint.
 inline constexpr std::chrono::milliseconds min_time_left{30};
 /// Fraction of the caller's timeout after which an idempotent request without an answer is sent to
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -10,7 +10,8 @@
     if (!state) {
         state = std::make_unique<service_state>(
             executor, dispatch::scheduler(own_domain, true, random()),
-            admission::retry_window(bounds.retries, started_at), 0);
+            admission::retry_window(bounds.retries, started_at), 0,
+            part_guard(name, [this](const admission::part_report& r) { publish_part_report(r); }));
         state->retries.set_process_count(process_count);
         state->queue.slot_scheduler().set_process_count(process_count);
         apply_profile(name, *state);
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -6,6 +6,7 @@
 #include "dispatch/concurrencycontroller.h"
 #include "dispatch/workqueue.h"
 #include "proxy/connectionpool.h"
+#include "proxy/partguard.h"
 #include "routes/configurationview.h"
 
 #include <map>
@@ -18,15 +19,16 @@
 /// State that an entry keeps for one service.
 struct service_state {
     service_state(const core::asio::any_io_executor& executor, dispatch::scheduler slot_scheduler,
-                  admission::retry_window allowance, unsigned engine_concurrency)
+                  admission::retry_window allowance, unsigned engine_concurrency, part_guard parts)
         : queue(executor, std::move(slot_scheduler)), retries(allowance),
-          concurrency_controller(engine_concurrency)
+          concurrency_controller(engine_concurrency), guard(std::move(parts))
     {
     }
 
     dispatch::work_queue queue;
     admission::retry_window retries;
     dispatch::concurrency_controller concurrency_controller;
+    part_guard guard;
     /// Time of the last event of any of the service's streams.
     core::time_point last_progress;
     /// Number of streams that are at an endpoint.
@@ -71,6 +73,9 @@
     std::mt19937_64 random;
     core::time_point started_at;
     std::map<core::service_id, std::unique_ptr<service_state>> services;
+    /// Sends a report on parts of prompts to all peers.
+    part_guard::publisher publish_part_report = [](const admission::part_report&) {
+    };
     std::size_t process_count = 1;
     std::size_t in_flight = 0;
     bool stopping = false;
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -29,6 +29,8 @@
 
 private:
     core::task<core::result<dispatch::work_queue::slot>> acquire_slot();
+    /// Ends the request, as no further attempt is made.
+    core::task<void> end_without_attempt(std::string_view reason);
     /// Whether another endpoint, the route and the retry allowance permit an attempt after this
     /// one.
     bool another_attempt_possible() const;
@@ -61,15 +63,14 @@
 {
     service_.retries.on_request(routed_.arrived);
     while (true) {
+        if (service_.guard.refuses(routed_.request.shared_parts)) {
+            co_await end_without_attempt(part_suspected_reason);
+            co_return;
+        }
         core::result<dispatch::work_queue::slot> acquired = co_await acquire_slot();
         if (!acquired) {
-            attempt_outcome no_attempt;
-            no_attempt.reason =
-                acquired.error().code == core::errc::unavailable ? "no_endpoint" : "no_slot";
-            const retry_context context{routed_.route->retry, answer_.begun(), may_have_run_, false,
-                                        false};
-            co_await finish_or_deliver_failure(decide(attempt_result::not_run, context),
-                                               std::move(no_attempt));
+            co_await end_without_attempt(
+                acquired.error().code == core::errc::unavailable ? "no_endpoint" : "no_slot");
             co_return;
         }
         dispatch::work_queue::slot slot = std::move(acquired.value());
@@ -97,6 +98,16 @@
     }
 }
 
+template <proxy_dialect Dialect>
+core::task<void> request_flow<Dialect>::end_without_attempt(std::string_view reason)
+{
+    attempt_outcome no_attempt;
+    no_attempt.reason = reason;
+    const retry_context context{routed_.route->retry, answer_.begun(), may_have_run_, false, false};
+    co_await finish_or_deliver_failure(decide(attempt_result::not_run, context),
+                                       std::move(no_attempt));
+}
+
 template <proxy_dialect Dialect>
 core::task<core::result<dispatch::work_queue::slot>> request_flow<Dialect>::acquire_slot()
 {
@@ -124,6 +135,7 @@
     dispatch::dispatch_request next;
     next.excluded = tried_endpoints_;
     return attempts_ < routed_.route->max_attempts && deadline_ - now >= min_time_left &&
+           !service_.guard.refuses(routed_.request.shared_parts) &&
            service_.queue.slot_scheduler().has_candidate(next) && service_.retries.has_retry(now);
 }
 
@@ -140,6 +152,7 @@
     dispatch::dispatch_request retry_request;
     retry_request.excluded = tried_endpoints_;
     context.retry_allowed = within_limits && is_retryable(result, context) &&
+                            !service_.guard.refuses(routed_.request.shared_parts) &&
                             service_.queue.slot_scheduler().has_candidate(retry_request) &&
                             service_.retries.try_acquire_retry(now);
     return context;
@@ -191,7 +204,9 @@
 {
     refusal r{status, reason, std::nullopt};
     if (status == 503) {
-        r.retry_after = service_.queue.slot_scheduler().retry_after();
+        r.retry_after = reason == part_suspected_reason
+                            ? service_.guard.retry_after(routed_.request.shared_parts)
+                            : service_.queue.slot_scheduler().retry_after();
     }
     http::response answer = Dialect::write_refusal(routed_.request, r);
     co_await answer_.reply(std::move(answer));
--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -26,7 +26,8 @@
         r.host = received.header_value("Host").value_or("");
         r.key = received.header_value("Key");
         r.timeout = 3s;
-        for (const std::string& part : core::split(received.header_value("Parts").value_or(""), ',')) {
+        for (const std::string& part :
+             core::split(received.header_value("Parts").value_or(""), ',')) {
             r.shared_parts.emplace_back(part);
         }
         r.message = std::move(received);
