Test that an endpoint leaving after an outage is not kept in use (fails)

One failed call starts the re-registration period of 2 s, also when only this gateway was cut off and no entry can have lapsed. An endpoint that leaves just after it stays in use for 2 s and a maintenance interval, longer than drain_ms.

--- a/src/directory/tests/tst_directory.cpp
+++ b/src/directory/tests/tst_directory.cpp
@@ -102,3 +102,27 @@
     CHECK(!known.usable(a));
     CHECK(known.usable(b));
 }
+
+// An outage of this process's calls alone must not keep an endpoint in use that leaves beside it.
+TEST(directories,
+     endpoint_that_leaves_after_an_outage_gets_no_requests_while_the_others_are_registered)
+{
+    known.on_listing({record("a"), record("b"), record("c")}, now);
+    known.on_store_recovered(now);
+    known.on_removal(a, now + 10ms);
+    LONGS_EQUAL(1, known.expire(now + 100ms).size());
+    CHECK(!known.usable(a));
+    CHECK(known.usable(b));
+}
+
+TEST(directories, endpoints_that_lapsed_together_have_time_to_register_again)
+{
+    known.on_listing({record("a"), record("b"), record("c")}, now);
+    known.on_store_recovered(now);
+    known.on_removal(a, now + 10ms);
+    known.on_removal(b, now + 20ms);
+    CHECK(known.expire(now + 100ms).empty());
+    CHECK(known.usable(a));
+    CHECK(known.usable(b));
+    LONGS_EQUAL(2, known.expire(now + 2000ms).size());
+}
