Keep missing endpoints in use only if registrations lapsed

Cause: after any failed call, also when only this gateway was cut off, removed endpoints stayed in use for 2 s, since their registrations might have lapsed while the store was down. The store had served them all along; the endpoint had left.

Change: missing endpoints stay in use only if half of all known endpoints or more are missing since the recovery. A lapse concerns all alike.

--- a/src/directory/endpointdirectory.cpp
+++ b/src/directory/endpointdirectory.cpp
@@ -1,7 +1,6 @@
 #include "directory/endpointdirectory.h"
 
 #include <algorithm>
-#include <set>
 
 namespace currantpitch::directory {
 
@@ -13,6 +12,17 @@
 void endpoint_directory::on_store_recovered(core::time_point now)
 {
     store_recovered_at_ = now;
+    known_at_recovery_ = records_.size();
+    removed_since_recovery_.clear();
+    for (const std::pair<const core::endpoint_id, core::time_point>& missing : missing_) {
+        removed_since_recovery_.insert(missing.first);
+    }
+}
+
+bool endpoint_directory::registrations_lapsed() const
+{
+    return static_cast<double>(removed_since_recovery_.size()) >=
+           min_lapsed_share * static_cast<double>(known_at_recovery_);
 }
 
 void endpoint_directory::on_listing(const std::vector<endpoint_record>& listing,
@@ -37,6 +47,7 @@
 void endpoint_directory::apply(const endpoint_record& record)
 {
     missing_.erase(record.endpoint);
+    removed_since_recovery_.erase(record.endpoint);
     records_[record.endpoint] = record;
 }
 
@@ -46,6 +57,7 @@
     const endpoint_record* const known = find(endpoint);
     if (known != nullptr && !known->draining && in_reregistration_period(now)) {
         missing_.try_emplace(endpoint, *store_recovered_at_ + reregistration_period);
+        removed_since_recovery_.insert(endpoint);
         return;
     }
     missing_.erase(endpoint);
@@ -55,8 +67,9 @@
 std::vector<core::endpoint_id> endpoint_directory::expire(core::time_point now)
 {
     std::vector<core::endpoint_id> dropped;
+    const bool lapsed = registrations_lapsed();
     for (auto it = missing_.begin(); it != missing_.end();) {
-        if (now < it->second) {
+        if (lapsed && now < it->second) {
             ++it;
             continue;
         }
--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,9 +33,13 @@
 
 /// Time after the recovery of the store within which running endpoints register again.
 inline constexpr std::chrono::milliseconds reregistration_period{2000};
+/// Share of the known endpoints that must be missing after an outage to conclude that their
+/// registrations lapsed during it. Fewer have left.
+inline constexpr double min_lapsed_share = 0.5;
 
 /// The registered endpoints, as known to one process. The latest list stays in use while the store
-/// is unavailable. An endpoint that is missing after the store recovers is dropped only when
+/// is unavailable. Running endpoints register again after the store recovers: if so many are
+/// missing then that their registrations must have lapsed, they are dropped only when
 /// reregistration_period has passed.
 class endpoint_directory {
 public:
@@ -43,12 +48,13 @@
     /// Adds an endpoint or replaces its registration.
     void apply(const endpoint_record& record);
     /// Removes an endpoint. During the re-registration period, it is only marked as missing unless
-    /// it was draining. It is dropped at the end of that period, even if another one begins
-    /// meanwhile.
+    /// it was draining.
     void on_removal(const core::endpoint_id& endpoint, core::time_point now);
     /// Starts the re-registration period when the store is available again after an outage.
     void on_store_recovered(core::time_point now);
-    /// Drops the endpoints that have not registered again in time and returns their names.
+    /// Drops the missing endpoints that have left or have not registered again by the end of the
+    /// period in which they were missed, even if another one has begun meanwhile. Returns their
+    /// names.
     std::vector<core::endpoint_id> expire(core::time_point now);
 
     const endpoint_record* find(const core::endpoint_id& endpoint) const;
@@ -62,6 +68,9 @@
 
 private:
     bool in_reregistration_period(core::time_point now) const;
+    /// Whether most registrations lapsed during the latest outage. If not, only this process may
+    /// have been cut off from the store.
+    bool registrations_lapsed() const;
     bool superseded(const endpoint_record& record) const;
 
     std::map<core::endpoint_id, endpoint_record> records_;
@@ -69,6 +78,9 @@
     /// are dropped.
     std::map<core::endpoint_id, core::time_point> missing_;
     std::optional<core::time_point> store_recovered_at_;
+    /// Number of endpoints when the store recovered, and those that were removed since then.
+    std::size_t known_at_recovery_ = 0;
+    std::set<core::endpoint_id> removed_since_recovery_;
 };
 
 } // namespace currantpitch::directory
