Do not suspect what most requests share in a long outage

What callers would have seen: after an outage in which endpoints fail one after the other and nothing makes progress, all requests of a caller or of a route refused, for up to 30 minutes.

Cause: an attempt without progress counted as evidence although its answer had not begun, also against parts that had been sound for long; and each such crash made the hold ten times longer, although nothing had been held back or probed between them.

Change: against a part that has been sound, only a begun answer counts. The hold grows only with crashes that come after the part was held back.

--- a/src/admission/partsuspects.cpp
+++ b/src/admission/partsuspects.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-/// Time for which suspects are held back after that many crashes.
-core::duration hold_after(unsigned crashes, bool ambiguous)
+/// Time for which suspects are held back after a crash that many probes have confirmed.
+core::duration hold_after(unsigned failed_probes, bool ambiguous)
 {
     core::duration time = ambiguous ? initial_ambiguous_part_hold : initial_part_hold;
-    for (unsigned n = 1; n < crashes && time < max_part_hold; ++n) {
+    for (unsigned n = 0; n < failed_probes && time < max_part_hold; ++n) {
         time *= part_hold_growth;
     }
     return std::min<core::duration>(time, max_part_hold);
@@ -109,15 +109,21 @@
     std::map<std::pair<core::prompt_part_id, endpoint_key>, unsigned> endpoint_weights;
     for (const part_crash& crash : crashes_) {
         for (const core::prompt_part_id& part : crash.parts) {
-            if (!is_evidence_against(crash, part)) {
+            // A request whose answer had not begun may only have waited for a group that stands
+            // still.
+            const bool conclusive = crash.answer_begun || !progress_.find(part);
+            if (!is_evidence_against(crash, part) || !conclusive) {
                 continue;
             }
             evidence& e = by_part[part];
             unsigned& episode_weight = episode_weights[part];
-            if (e.crashes == 0 || crash.at - e.last_crash_at > mass_failure_window) {
-                ++e.crashes;
+            const core::duration since_last = crash.at - e.last_crash_at;
+            if (e.weight == 0 || since_last > mass_failure_window) {
                 episode_weight = 0;
             }
+            if (e.weight > 0 && since_last >= initial_part_hold) {
+                ++e.failed_probes;
+            }
             e.weight += raise(episode_weight, weight_of(crash));
             e.total_weight +=
                 raise(endpoint_weights[{part, {crash.endpoint, crash.endpoint_incarnation}}],
@@ -179,8 +185,8 @@
         for (const std::pair<const part_set, evidence>& cause : sets) {
             const evidence& e = cause.second;
             hold& set = updated[cause.first];
-            set.held_until =
-                std::max(set.held_until, e.last_crash_at + hold_after(e.crashes, sets.size() > 1));
+            set.held_until = std::max(
+                set.held_until, e.last_crash_at + hold_after(e.failed_probes, sets.size() > 1));
             const auto before = suspects_.find(cause.first);
             if (before != suspects_.end()) {
                 set.probed_until = before->second.probed_until;
--- a/src/admission/partsuspects.h
+++ b/src/admission/partsuspects.h
@@ -77,10 +77,11 @@
 private:
     /// Evidence against one part.
     struct evidence {
-        /// Weight and number of the crashes. Those at about the same time count as one, since they
-        /// may have a cause outside the requests.
+        /// Weight of the crashes. Those at about the same time count as one, since they may have a
+        /// cause outside the requests.
         unsigned weight = 0;
-        unsigned crashes = 0;
+        /// Number of crashes after the part had been held back, that is, by probes.
+        unsigned failed_probes = 0;
         core::time_point last_crash_at;
         /// Sum of the weights of all endpoints that crashed. Of several parts, the one with the
         /// highest sum is the most suspect.
--- a/src/admission/tests/tst_partsuspects.cpp
+++ b/src/admission/tests/tst_partsuspects.cpp
@@ -154,6 +154,27 @@
     CHECK(verdict({"rare"}) == part_verdict::admit);
 }
 
+// Endpoints that fail one after the other, while nothing makes progress, must not cut off what most
+// requests share.
+TEST(part_suspicions, part_that_has_been_sound_is_not_suspected_in_a_long_outage)
+{
+    suspects.on_progress(parts({"common"}), now);
+    for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
+        now += 1s;
+        suspects.on_crash(crash_of({"common"}, endpoint, now, false));
+    }
+    CHECK(verdict({"common"}) == part_verdict::admit);
+}
+
+TEST(part_suspicions, hold_does_not_grow_before_a_probe)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
+        now += 1s;
+        suspects.on_crash(crash_of({"rare"}, endpoint, now));
+    }
+    CHECK(suspects.hold_time(parts({"rare"}), now) == initial_part_hold);
+}
+
 TEST(part_suspicions, request_beside_the_cause_of_a_crash_is_released_when_the_cause_is_known)
 {
     suspects.on_crash(crash_of({"bad"}, 1, now));
