Tell a peer that was cut off which parts have been sound since

What callers would have seen: a gateway that was cut off from its peers while endpoints failed keeps refusing requests with a common part for the rest of the hold, although the others serve them.

Cause: a peer answered a report only with progress of parts for which the report had none at all, not with progress that came after the reported crashes.

Change: the answer also has progress that is newer than a reported crash, if the report's is older.

Result: entry_that_was_cut_off_learns_of_progress_after_its_crashes failed before and passes; all 24 test programs pass.

--- a/src/proxy/partguard.cpp
+++ b/src/proxy/partguard.cpp
@@ -118,10 +118,7 @@
         changed = suspects_.on_crash(from_reported(c)) || changed;
         part_ids unknown_to_peer;
         for (const core::prompt_part_id& part : c.parts) {
-            const bool reported = std::any_of(
-                report.progress.begin(), report.progress.end(),
-                [&part](const admission::reported_part_progress& p) { return p.part == part; });
-            if (!reported) {
+            if (knows_more_progress(part, c.age, report)) {
                 unknown_to_peer.push_back(part);
             }
         }
@@ -136,6 +133,20 @@
     return answer.progress.empty() ? std::nullopt : std::optional<part_report>(answer);
 }
 
+bool part_guard::knows_more_progress(const core::prompt_part_id& part,
+                                     std::chrono::milliseconds crash_age,
+                                     const part_report& report) const
+{
+    const auto reported = std::find_if(
+        report.progress.begin(), report.progress.end(),
+        [&part](const admission::reported_part_progress& p) { return p.part == part; });
+    if (reported == report.progress.end()) {
+        return true;
+    }
+    const std::optional<core::time_point> known = suspects_.last_progress(part);
+    return known && age_of(*known) < crash_age && reported->age >= crash_age;
+}
+
 std::optional<part_report> part_guard::snapshot() const
 {
     if (suspects_.crashes().empty()) {
--- a/src/proxy/partguard.h
+++ b/src/proxy/partguard.h
@@ -47,6 +47,10 @@
     admission::part_report empty_report() const;
     void add_progress(admission::part_report& report,
                       const std::vector<core::prompt_part_id>& parts) const;
+    /// Whether this entry has seen progress that decides about a crash of that age and that the
+    /// report lacks.
+    bool knows_more_progress(const core::prompt_part_id& part, std::chrono::milliseconds crash_age,
+                             const admission::part_report& report) const;
     void log_suspects() const;
 
     core::service_id service_;
--- a/src/proxy/tests/tst_partguard.cpp
+++ b/src/proxy/tests/tst_partguard.cpp
@@ -137,3 +137,27 @@
     CHECK(!started.refuses(parts({"first"})));
     CHECK(started.retry_after(parts({"bad"})) == 28s);
 }
+
+// A suspicion must not outlive the progress that only the peers of a cut-off entry have seen.
+TEST(part_guards, entry_that_was_cut_off_learns_of_progress_after_its_crashes)
+{
+    proxy::part_guard cut_off(tutor, [](const admission::part_report&) {});
+    cut_off.on_progress(parts({"first"}));
+    admission::part_crash crashed;
+    crashed.parts = parts({"first"});
+    crashed.answer_begun = true;
+    for (std::uint64_t n = 1; n <= 2; ++n) {
+        run.advance(1s);
+        crashed.endpoint_incarnation = core::incarnation{n};
+        crashed.at = core::runtime_clock::now();
+        cut_off.on_crash("id", crashed);
+    }
+    CHECK(cut_off.refuses(parts({"first"})));
+    run.advance(1s);
+    guards[1]->on_progress(parts({"first"}));
+    const std::optional<admission::part_report> answer =
+        guards[1]->on_report(cut_off.snapshot().value());
+    CHECK(answer.has_value());
+    cut_off.on_report(*answer);
+    CHECK(!cut_off.refuses(parts({"first"})));
+}
