Close the soak's sockets in the processes that it starts

Cause: gateways and agents inherited the soak's listeners and connections.

Change: processes are started with no file open beyond the standard ones.

--- a/tests/soak/nodeprocess.cpp
+++ b/tests/soak/nodeprocess.cpp
@@ -44,6 +44,8 @@
     posix_spawn_file_actions_addopen(&file_actions, STDOUT_FILENO, log_file_.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&file_actions, STDOUT_FILENO, STDERR_FILENO);
+    // A socket of the soak that a process inherited would stay open when the soak closes it.
+    posix_spawn_file_actions_addclosefrom_np(&file_actions, STDERR_FILENO + 1);
     std::string option = "--settings";
     char* const arguments[] = {program_.data(), option.data(), settings_file_.data(), nullptr};
     pid_t pid = 0;
