Let a part of prompts crash ranks in the soak of processes

The checker finds more than three such requests that reach ranks from 3 s after the fifth crash on, sent by gateways in touch. The other draws of a seed stay as they are.

Tests show a planted violation, an allowed case, and the closed listener.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -20,13 +20,14 @@
 constexpr double abandon_probability = 0.03;
 constexpr double revoked_key_probability = 0.06;
 constexpr double removed_route_probability = 0.06;
+constexpr double crashing_part_probability = 0.15;
 
 } // namespace
 
 caller::caller(caller_environment& environment, guarantee_checker& checker, std::size_t number,
                std::uint64_t seed)
     : environment_(environment), checker_(checker), name_("c" + std::to_string(number)),
-      random_(seed), address_lifetime_(number % 3 == 0 ? 3000 : 1000)
+      random_(seed), prompt_random_(seed), address_lifetime_(number % 3 == 0 ? 3000 : 1000)
 {
 }
 
@@ -107,6 +108,10 @@
     call.key = keys[random_() % keys.size()];
     call.timeout = route.timeout + late_answer_wait;
     call.streams = route.retry == declared_route::kind::stream;
+    if (!environment_.crashing_part.empty() &&
+        std::bernoulli_distribution(crashing_part_probability)(prompt_random_)) {
+        call.shared_parts.push_back(environment_.crashing_part);
+    }
     sent_call sent{call.request, gateway,     call.method,   call.target, call.body,
                    call.key,     route.retry, route.timeout, {}};
     return {std::move(sent), std::move(call)};
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -27,6 +27,8 @@
     /// Keys and routes that were removed from the configuration. Some callers keep using them.
     std::vector<std::string> revoked_keys;
     std::vector<declared_route> removed_routes;
+    /// Part that some callers' prompts contain and that crashes endpoints. Empty if there is none.
+    std::string crashing_part;
     /// Number of events in a complete stream.
     std::uint64_t stream_events = 0;
     bool stopping = false;
@@ -61,6 +63,8 @@
     guarantee_checker& checker_;
     std::string name_;
     std::mt19937_64 random_;
+    /// Chooses the prompts, so that they do not change what else a seed gives.
+    std::mt19937_64 prompt_random_;
     std::uint64_t request_count_ = 0;
     std::vector<std::string> addresses_;
     core::time_point fetched_at_;
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -22,17 +22,24 @@
 
 fault_proxy::fault_proxy(const asio::any_io_executor& executor, asio::ip::tcp::endpoint listen,
                          asio::ip::tcp::endpoint target)
-    : executor_(executor), acceptor_(executor), target_(std::move(target)), changed_(executor)
+    : executor_(executor), acceptor_(executor), address_(std::move(listen)),
+      target_(std::move(target)), changed_(executor)
 {
-    const core::result<void> opened = wire::open_listener(acceptor_, listen);
+    open();
+}
+
+void fault_proxy::open()
+{
+    const core::result<void> opened = wire::open_listener(acceptor_, address_);
     if (!opened) {
         throw std::runtime_error("proxy cannot listen: " + opened.error().detail);
     }
+    address_ = acceptor_.local_endpoint();
 }
 
 core::task<void> fault_proxy::run()
 {
-    while (acceptor_.is_open()) {
+    while (true) {
         error_code failure;
         const std::shared_ptr<link> l = std::make_shared<link>(executor_);
         co_await acceptor_.async_accept(l->client,
@@ -105,6 +112,13 @@
 void fault_proxy::set_faults(const link_faults& faults)
 {
     faults_ = faults;
+    if (faults_.gone && acceptor_.is_open()) {
+        error_code ignored;
+        acceptor_.close(ignored);
+    }
+    else if (!faults_.gone && !acceptor_.is_open()) {
+        open();
+    }
     changed_.notify();
 }
 
--- a/tests/soak/faultproxy.h
+++ b/tests/soak/faultproxy.h
@@ -20,6 +20,8 @@
     bool cut_down = false;
     /// New connections are reset.
     bool refuses = false;
+    /// Nobody listens: new connections fail, as when the server's process is gone.
+    bool gone = false;
 };
 
 /// TCP proxy in front of a server. Relays connections with the configured faults of the link.
@@ -28,7 +30,7 @@
     fault_proxy(const core::asio::any_io_executor& executor, core::asio::ip::tcp::endpoint listen,
                 core::asio::ip::tcp::endpoint target);
 
-    /// Accepts connections until the process exits.
+    /// Accepts connections until the process exits, except while nobody listens.
     core::task<void> run();
     void set_faults(const link_faults& faults);
     /// Resets every open connection.
@@ -48,6 +50,7 @@
     };
     enum class direction { up, down };
 
+    void open();
     core::task<void> relay(std::shared_ptr<link> l);
     core::task<void> forward(std::shared_ptr<link> l, direction d);
     bool blocked(const link& l, direction d) const;
@@ -55,6 +58,7 @@
 
     core::asio::any_io_executor executor_;
     core::asio::ip::tcp::acceptor acceptor_;
+    core::asio::ip::tcp::endpoint address_;
     core::asio::ip::tcp::endpoint target_;
     link_faults faults_;
     core::notifier changed_;
--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -155,9 +155,21 @@
         gateway_undisturbed(call.gateway, leaving->second, a.at)) {
         add_finding("drain", a.request, a.endpoint.str());
     }
+    check_crashing_request(s, a);
     check_configuration(s, a);
 }
 
+void guarantee_checker::check_crashing_request(const call_state& s, const arrival& a)
+{
+    if (!a.crashes || part_crashes_.size() < limits_.max_part_crashes) {
+        return;
+    }
+    const core::time_point known_at = part_crashes_[limits_.max_part_crashes - 1];
+    const bool late = a.at > known_at + limits_.settling_time &&
+                      gateway_undisturbed(s.call.gateway, s.call.at, a.at);
+    late_crashing_requests_ += late ? 1 : 0;
+}
+
 void guarantee_checker::check_configuration(call_state& s, const arrival& a)
 {
     const sent_call& call = s.call;
@@ -332,6 +344,9 @@
 {
     check_retries();
     check_attempts();
+    if (late_crashing_requests_ > limits_.max_late_crashing_requests) {
+        add_finding("crashing-part", "-", "requests=" + std::to_string(late_crashing_requests_));
+    }
 }
 
 double guarantee_checker::success_ratio_since(core::time_point t) const
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -57,6 +57,8 @@
 
     void on_configuration(const declared_configuration& c, core::time_point acknowledged);
     void on_endpoint_leaving(const core::endpoint_id& e, core::time_point acknowledged);
+    /// Reports that a part of a prompt crashed an endpoint.
+    void on_part_crash(core::time_point at) { part_crashes_.push_back(at); }
     /// Reports that a gateway process was started or restarted.
     void on_gateway_start(std::size_t gateway);
     /// Time limits, except for rollback and revoke, don't apply until the matching
@@ -85,6 +87,8 @@
     std::size_t refused() const { return refused_; }
     std::size_t failed() const { return failed_; }
     std::size_t undisturbed_calls() const { return undisturbed_calls_; }
+    /// Number of times that a part of a prompt crashed an endpoint.
+    std::size_t part_crashes() const { return part_crashes_.size(); }
 
 private:
     struct configuration {
@@ -124,6 +128,7 @@
     void check_lost_request(call_state& s, const call_result& result);
     void check_retries();
     void check_attempts();
+    void check_crashing_request(const call_state& s, const arrival& a);
 
     guarantee_limits limits_;
     std::vector<configuration> configurations_;
@@ -132,6 +137,9 @@
     std::map<std::string, call_state> calls_;
     /// Newest configuration that each gateway is known to have used since its last start, and when.
     std::map<std::size_t, std::pair<std::size_t, core::time_point>> newest_used_;
+    /// Times of the crashes by a part of prompts, in their order.
+    std::vector<core::time_point> part_crashes_;
+    std::size_t late_crashing_requests_ = 0;
     std::vector<std::string> findings_;
     std::size_t served_ = 0;
     std::size_t refused_ = 0;
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -34,6 +34,10 @@
     /// Number of requests that may run at more endpoints than their route allows. A few are
     /// accepted, since an endpoint may stop while it runs a request.
     std::size_t max_excess_attempts = 3;
+    /// Number of crashes by a part of prompts after which requests with it must not reach endpoints
+    /// any more, and of those that may do so all the same.
+    std::size_t max_part_crashes = 5;
+    std::size_t max_late_crashing_requests = 3;
     /// Ratio of requests that must succeed after the last fault. The platform's documentation
     /// requires a quarter.
     double min_served_ratio = 0.9;
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -33,6 +33,7 @@
     site.start_callers();
     fault_injector injector(site);
     co_await injector.run(make_fault_script(options.site.seed, options.faults));
+    site.environment().crashing_part.clear();
     co_await core::sleep_for(guarantee_limits{}.recovery);
     const core::time_point recovered = core::runtime_clock::now();
     const core::step_number step = site.group().step();
@@ -56,6 +57,7 @@
               << " served=" << checker.served() << " refused=" << checker.refused()
               << " failed=" << checker.failed()
               << " judged_in_touch=" << checker.undisturbed_calls()
+              << " part_crashes=" << checker.part_crashes()
               << " switches=" << site.group().switches() << " served_after=" << served
               << " findings=" << findings.size() << "\n";
     context.stop();
@@ -107,6 +109,8 @@
     app.add_option("--ranks", options.site.ranks,
                    "Number of ranks of the group, each with its agent");
     app.add_option("--callers", options.site.callers, "Number of callers");
+    app.add_flag("--crashing-part", options.site.crashing_part,
+                 "Let a part of some prompts crash the ranks that begin to answer it");
     app.add_flag("--list", options.list, "Only print the faults of the seed");
     app.footer(
         "Exit codes: 0 if every guarantee held, 1 if one was violated; the findings name it.");
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -31,6 +31,11 @@
 constexpr std::uint64_t tokens_per_step = 2000;
 /// Interval at which the ranks finish copying the experts of their load orders.
 constexpr std::chrono::milliseconds expert_copy_time{200};
+/// Part of prompts that crashes ranks, the time from the head of its answer to the crash, and the
+/// time for which the rank is gone.
+constexpr const char* crashing_part_id = "deadbeef";
+constexpr std::chrono::milliseconds crash_delay{20};
+constexpr std::chrono::milliseconds rank_restart_time{1500};
 /// Interval at which other experts become the most requested ones.
 constexpr std::chrono::milliseconds demand_shift_interval{4000};
 /// Delays of this process beyond this limit count as a disturbance of every gateway.
@@ -174,6 +179,11 @@
     o.events = stream_events;
     e.server = std::make_unique<standin_endpoint>(
         o, [this](const arrival& a) { checker_.on_arrival(a); }, e.engine.get());
+    if (options_.crashing_part) {
+        e.server->crashed_by = crashing_part{crashing_part_id, [this, i] {
+                                                 core::spawn(executor_, crash_rank(i));
+                                             }};
+    }
     build_link(e, rank_block, i);
     ranks_.push_back(std::move(e));
     const std::string name = "agent-" + std::to_string(i);
@@ -188,6 +198,29 @@
         first_agent_store_number + i));
 }
 
+core::task<void> soak_site::crash_rank(std::size_t i)
+{
+    endpoint& e = ranks_[i];
+    if (e.crashed) {
+        co_return;
+    }
+    e.crashed = true;
+    co_await core::sleep_for(crash_delay);
+    checker_.on_part_crash(core::runtime_clock::now());
+    checker_.on_disturbance_start(disturbance_target::endpoints, 0, core::runtime_clock::now());
+    group_.crash(static_cast<std::uint32_t>(i));
+    e.link->set_faults({.gone = true});
+    e.link->reset_all();
+    co_await core::sleep_for(rank_restart_time);
+    e.link->set_faults({});
+    e.crashed = false;
+    ++e.incarnation;
+    e.server->restart(e.server->options().endpoint, core::incarnation{e.incarnation});
+    register_endpoint(e, false);
+    group_.rebuild_group();
+    checker_.on_disturbance_end(disturbance_target::endpoints, 0, core::runtime_clock::now());
+}
+
 void soak_site::build_plain(std::size_t i)
 {
     endpoint e;
@@ -260,6 +293,7 @@
 
 void soak_site::start_callers()
 {
+    environment_.crashing_part = options_.crashing_part ? crashing_part_id : "";
     for (std::size_t i = 0; i < options_.callers; ++i) {
         callers_.push_back(std::make_unique<caller>(environment_, checker_, i, random_()));
         ++running_callers_;
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -24,6 +24,8 @@
     std::size_t ranks = 4;
     std::size_t plain_endpoints = 6;
     std::size_t callers = 24;
+    /// Whether a part of some prompts crashes the ranks that begin to answer it.
+    bool crashing_part = false;
 };
 
 /// A complete site on loopback: the processes under test and, within this process, the store, the
@@ -56,6 +58,8 @@
         std::string address;
         std::string domain;
         std::uint64_t incarnation = 1;
+        /// A part of a prompt has crashed the rank, and it is not back yet.
+        bool crashed = false;
     };
 
     std::vector<node>& gateways() { return gateways_; }
@@ -84,6 +88,8 @@
     void build_rank(std::size_t i);
     void build_plain(std::size_t i);
     node make_node(const std::string& name, const std::string& settings, std::size_t store_number);
+    /// The rank is gone for a while, and the group forms again when it is back.
+    core::task<void> crash_rank(std::size_t i);
     void build_link(endpoint& e, unsigned block, std::size_t i);
     template <class Handler>
     void listen(const core::asio::ip::tcp::endpoint& address, Handler& handler);
--- a/tests/soak/tst_faultproxy.cpp
+++ b/tests/soak/tst_faultproxy.cpp
@@ -148,6 +148,22 @@
     });
 }
 
+TEST(fault_proxies, nobody_listens_while_the_server_is_gone)
+{
+    run([&]() -> core::task<void> {
+        proxy->set_faults({.gone = true});
+        asio::ip::tcp::socket s(context);
+        error_code failure;
+        co_await s.async_connect(proxy_endpoint,
+                                 asio::redirect_error(asio::use_awaitable, failure));
+        CHECK(failure == asio::error::connection_refused);
+        proxy->set_faults({});
+        asio::ip::tcp::socket other = co_await connect();
+        const std::string reply = co_await send_and_receive(other, "word", 1s);
+        STRCMP_EQUAL("word", reply.c_str());
+    });
+}
+
 TEST(fault_proxies, injected_bytes_reach_the_client)
 {
     run([&]() -> core::task<void> {
--- a/tests/soak/tst_guaranteechecker.cpp
+++ b/tests/soak/tst_guaranteechecker.cpp
@@ -307,6 +307,32 @@
     CHECK(has_finding("attempts"));
 }
 
+TEST(judges, endpoints_that_a_part_of_prompts_keeps_crashing_are_found)
+{
+    for (int i = 0; i < 12; ++i) {
+        const sent_call s = send(i * 1s);
+        arrival a = make_arrival(s);
+        a.crashes = true;
+        checker.on_arrival(a);
+        checker.on_part_crash(a.at);
+    }
+    checker.finish();
+    CHECK(has_finding("crashing-part"));
+}
+
+TEST(judges, requests_that_crash_endpoints_are_allowed_until_the_part_is_known)
+{
+    for (int i = 0; i < 8; ++i) {
+        const sent_call s = send(i * 600ms);
+        arrival a = make_arrival(s);
+        a.crashes = true;
+        checker.on_arrival(a);
+        checker.on_part_crash(a.at);
+    }
+    checker.finish();
+    CHECK(!has_finding("crashing-part"));
+}
+
 TEST(judges, success_ratio_shows_a_system_that_does_not_recover)
 {
     serve(send(0ms));
