Name the two sums of evidence by what they are taken over

Cause: the newcomer's reading of the change: weight and total_weight did not say how they differ, one conversion to text was not used, and the comment on holds said what the code did before.

Change: names and comments; the unused function is gone. No decision changed.

--- a/src/admission/partsuspects.cpp
+++ b/src/admission/partsuspects.cpp
@@ -33,19 +33,6 @@
 
 } // namespace
 
-std::string_view to_string(part_verdict v)
-{
-    switch (v) {
-    case part_verdict::admit:
-        return "admit";
-    case part_verdict::probe:
-        return "probe";
-    case part_verdict::refuse:
-        break;
-    }
-    return "refuse";
-}
-
 bool part_suspects::is_evidence_against(const part_crash& crash,
                                         const core::prompt_part_id& part) const
 {
@@ -118,14 +105,14 @@
             evidence& e = by_part[part];
             unsigned& episode_weight = episode_weights[part];
             const core::duration since_last = crash.at - e.last_crash_at;
-            if (e.weight == 0 || since_last > mass_failure_window) {
+            if (e.weight_by_time == 0 || since_last > mass_failure_window) {
                 episode_weight = 0;
             }
-            if (e.weight > 0 && since_last >= initial_part_hold) {
+            if (e.weight_by_time > 0 && since_last >= initial_part_hold) {
                 ++e.failed_probes;
             }
-            e.weight += raise(episode_weight, weight_of(crash));
-            e.total_weight +=
+            e.weight_by_time += raise(episode_weight, weight_of(crash));
+            e.weight_by_endpoint +=
                 raise(endpoint_weights[{part, {crash.endpoint, crash.endpoint_incarnation}}],
                       weight_of(crash));
             e.last_crash_at = crash.at;
@@ -142,14 +129,14 @@
     evidence strongest;
     for (const core::prompt_part_id& part : crash.parts) {
         const auto found = by_part.find(part);
-        // Progress before the first crash speaks for a part as much as one crash against it.
+        // A part that has been sound needs a second crash.
         const unsigned needed_weight = begun_answer_weight * (progress_.find(part) ? 2 : 1);
         if (found == by_part.end() || !is_evidence_against(crash, part) ||
-            found->second.weight < needed_weight ||
-            found->second.total_weight < strongest.total_weight) {
+            found->second.weight_by_time < needed_weight ||
+            found->second.weight_by_endpoint < strongest.weight_by_endpoint) {
             continue;
         }
-        if (found->second.total_weight > strongest.total_weight) {
+        if (found->second.weight_by_endpoint > strongest.weight_by_endpoint) {
             most_suspect.clear();
             strongest = found->second;
         }
@@ -166,11 +153,11 @@
     for (const part_crash& crash : crashes_) {
         const std::pair<part_set, evidence> found = most_suspect_parts(crash, by_part);
         likely_causes& causes = by_endpoint[{crash.endpoint, crash.endpoint_incarnation}];
-        if (found.first.empty() || found.second.total_weight < causes.total_weight) {
+        if (found.first.empty() || found.second.weight_by_endpoint < causes.weight) {
             continue;
         }
-        if (found.second.total_weight > causes.total_weight) {
-            causes = {{}, found.second.total_weight};
+        if (found.second.weight_by_endpoint > causes.weight) {
+            causes = {{}, found.second.weight_by_endpoint};
         }
         causes.sets.insert(found);
     }
--- a/src/admission/partsuspects.h
+++ b/src/admission/partsuspects.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -30,7 +29,6 @@
     probe,  ///< suspected, and held back long enough for one request to find out
     refuse, ///< suspected of crashing the endpoint that would run it
 };
-std::string_view to_string(part_verdict v);
 
 /// Finds the parts of prompts that crash each endpoint which begins an answer on them. The
 /// evidence against a part is a crash of an endpoint with a request that contains it and has made
@@ -41,8 +39,9 @@
 /// A crash has one cause. Of the requests that the endpoint was running, only those with most
 /// evidence against them are suspected.
 ///
-/// Suspects are held back for a time that grows with each crash. After it one request is let
-/// through as a probe, so that a part that is suspected wrongly is cleared.
+/// Suspects are held back for some time. After it one request is let through as a probe, so that a
+/// part that is suspected wrongly is cleared. Each probe that crashes its endpoint makes the time
+/// longer.
 class part_suspects {
 public:
     /// Records a crash. Returns false if it was known, is out of date or no part is to blame.
@@ -79,13 +78,13 @@
     struct evidence {
         /// Weight of the crashes. Those at about the same time count as one, since they may have a
         /// cause outside the requests.
-        unsigned weight = 0;
+        unsigned weight_by_time = 0;
         /// Number of crashes after the part had been held back, that is, by probes.
         unsigned failed_probes = 0;
         core::time_point last_crash_at;
         /// Sum of the weights of all endpoints that crashed. Of several parts, the one with the
         /// highest sum is the most suspect.
-        unsigned total_weight = 0;
+        unsigned weight_by_endpoint = 0;
     };
     /// How long parts that are suspected together are held back.
     struct hold {
@@ -98,7 +97,8 @@
     /// it crashed.
     struct likely_causes {
         std::map<part_set, evidence> sets;
-        unsigned total_weight = 0;
+        /// Weight of that evidence, by endpoint.
+        unsigned weight = 0;
     };
 
     std::map<core::prompt_part_id, evidence> weigh_evidence() const;
