Give up a silent endpoint only when the next attempt has a slot

Cause: an attempt at an endpoint that was silent for longer than the idle timeout was given up if another endpoint existed, whether or not it had a free slot. While all slots are in use, the next attempt found none within its time, and the stream that was still running had been lost.

Change: the slot of the next attempt is acquired while the silent one goes on. It is given up only for an acquired slot, and only if it is still silent then.

--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -24,20 +24,28 @@
     bool progressed = false;
 };
 
+/// The attempt that would follow the running one.
+struct next_attempt {
+    /// Whether the endpoints, the route and the retry allowance permit it now.
+    std::function<bool()> possible;
+    /// Waits for its slot. Returns false if none becomes free in time.
+    std::function<core::task<bool>()> acquire_slot;
+    /// Gives the slot back, as the running attempt goes on.
+    std::function<void()> release_slot;
+};
+
 /// One attempt at an endpoint. Connects, sends the request and reads the endpoint's answer; a
 /// stream is relayed to the caller event by event. Ends when an idle timeout or the deadline
 /// expires.
 template <proxy_dialect Dialect>
 class endpoint_attempt {
 public:
-    /// can_follow tells whether another attempt could follow now. Without one there is no idle
-    /// timeout: a slow answer is better than none.
+    /// A silent endpoint is given up only for a next attempt that has its slot: a slow answer is
+    /// better than none.
     endpoint_attempt(proxy_context& context, service_state& service, const routed_request& routed,
-                     caller_answer& answer, core::time_point deadline,
-                     std::function<bool()> can_follow)
+                     caller_answer& answer, core::time_point deadline, next_attempt next)
         : context_(context), service_(service), routed_(routed), answer_(answer),
-          deadline_(deadline), can_follow_(std::move(can_follow)),
-          last_activity_(core::runtime_clock::now())
+          deadline_(deadline), next_(std::move(next)), last_activity_(core::runtime_clock::now())
     {
     }
 
@@ -58,7 +66,9 @@
     /// Records that the endpoint sent an event or its whole answer.
     void on_progress();
     core::task<std::string_view> watch_timeouts(const http::client_connection& connection);
-    bool idle_timeout_expired(core::time_point now) const;
+    /// Whether the endpoint has been silent for longer than the idle timeout and another attempt
+    /// may follow. It is not silent when this process is late in reading its answer.
+    bool is_silent(const http::client_connection& connection) const;
     core::duration idle_timeout(core::time_point now) const;
 
     /// Counts a stream as running while its attempt lasts.
@@ -83,7 +93,7 @@
     const routed_request& routed_;
     caller_answer& answer_;
     core::time_point deadline_;
-    std::function<bool()> can_follow_;
+    next_attempt next_;
     core::time_point last_activity_;
     bool head_received_ = false;
     bool progressed_ = false;
@@ -345,14 +355,12 @@
 }
 
 template <proxy_dialect Dialect>
-bool endpoint_attempt<Dialect>::idle_timeout_expired(core::time_point now) const
+bool endpoint_attempt<Dialect>::is_silent(const http::client_connection& connection) const
 {
-    const core::duration idle_duration = now - last_activity_;
-    if (!routes::may_retry(routed_.route->retry) || answer_.writing() ||
-        idle_duration <= idle_timeout(now)) {
-        return false;
-    }
-    return can_follow_();
+    const core::time_point now = core::runtime_clock::now();
+    return routes::may_retry(routed_.route->retry) && !answer_.writing() &&
+           now - last_activity_ > idle_timeout(now) && !connection.has_unread_bytes() &&
+           next_.possible();
 }
 
 template <proxy_dialect Dialect>
@@ -378,16 +386,20 @@
 endpoint_attempt<Dialect>::watch_timeouts(const http::client_connection& connection)
 {
     while (true) {
-        const core::time_point now = core::runtime_clock::now();
-        if (now >= deadline_) {
+        if (core::runtime_clock::now() >= deadline_) {
             co_return "out_of_time";
         }
-        // The endpoint is not silent when this process is late in reading its answer.
-        if (idle_timeout_expired(now) && !connection.has_unread_bytes()) {
-            co_return "silent";
+        if (is_silent(connection)) {
+            const bool acquired = co_await next_.acquire_slot();
+            // The endpoint may have gone on meanwhile.
+            if (acquired && is_silent(connection)) {
+                co_return "silent";
+            }
+            next_.release_slot();
         }
         core::timer timer(context_.executor);
-        co_await timer.wait_until(std::min(deadline_, now + watchdog_interval));
+        co_await timer.wait_until(
+            std::min(deadline_, core::runtime_clock::now() + watchdog_interval));
     }
 }
 
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -28,7 +28,13 @@
     void log_abandoned() const { log_outcome("caller_left", {}); }
 
 private:
-    core::task<core::result<dispatch::work_queue::slot>> acquire_slot();
+    using slot_result = core::result<dispatch::work_queue::slot>;
+
+    /// The slot of the next attempt, unless the last one has acquired it already.
+    core::task<slot_result> take_slot();
+    core::task<slot_result> acquire_slot() const;
+    /// Acquires the slot of the next attempt while the current one goes on.
+    core::task<bool> acquire_next_slot();
     /// Ends the request, as no further attempt is made.
     core::task<void> end_without_attempt(std::string_view reason);
     /// Whether another endpoint, the route and the retry allowance permit an attempt after this
@@ -54,6 +60,8 @@
     unsigned attempts_ = 0;
     bool may_have_run_ = false;
     std::set<core::endpoint_id> tried_endpoints_;
+    /// Acquired for an attempt that follows a silent one.
+    std::optional<dispatch::work_queue::slot> next_slot_;
     core::time_point attempt_started_at_;
     core::duration queue_time_{};
 };
@@ -67,7 +75,7 @@
             co_await end_without_attempt(part_suspected_reason);
             co_return;
         }
-        core::result<dispatch::work_queue::slot> acquired = co_await acquire_slot();
+        slot_result acquired = co_await take_slot();
         if (!acquired) {
             co_await end_without_attempt(
                 acquired.error().code == core::errc::unavailable ? "no_endpoint" : "no_slot");
@@ -78,7 +86,11 @@
         tried_endpoints_.insert(slot.endpoint());
         attempt_started_at_ = core::runtime_clock::now();
         endpoint_attempt<Dialect> attempt(context_, service_, routed_, answer_, deadline_,
-                                          [this] { return another_attempt_possible(); });
+                                          {[this] { return another_attempt_possible(); },
+                                           [this] { return acquire_next_slot(); },
+                                           [this] {
+                                               next_slot_.reset();
+                                           }});
         attempt_outcome outcome = co_await attempt.run(slot);
         slot.set_outcome(outcome.work);
         may_have_run_ = may_have_run_ || outcome.result == attempt_result::unknown ||
@@ -88,6 +100,7 @@
                                    : decide(outcome.result, evaluate_retry(outcome.result));
         log_attempt(slot.endpoint(), outcome, step);
         if (step != next_step::retry) {
+            next_slot_.reset();
             co_await finish_or_deliver_failure(step, std::move(outcome));
             co_return;
         }
@@ -109,7 +122,32 @@
 }
 
 template <proxy_dialect Dialect>
-core::task<core::result<dispatch::work_queue::slot>> request_flow<Dialect>::acquire_slot()
+core::task<core::result<dispatch::work_queue::slot>> request_flow<Dialect>::take_slot()
+{
+    if (next_slot_) {
+        slot_result taken(std::move(*next_slot_));
+        next_slot_.reset();
+        co_return taken;
+    }
+    const core::time_point began_at = core::runtime_clock::now();
+    slot_result acquired = co_await acquire_slot();
+    queue_time_ += core::runtime_clock::now() - began_at;
+    co_return acquired;
+}
+
+template <proxy_dialect Dialect>
+core::task<bool> request_flow<Dialect>::acquire_next_slot()
+{
+    slot_result acquired = co_await acquire_slot();
+    if (!acquired) {
+        co_return false;
+    }
+    next_slot_.emplace(std::move(acquired.value()));
+    co_return true;
+}
+
+template <proxy_dialect Dialect>
+core::task<core::result<dispatch::work_queue::slot>> request_flow<Dialect>::acquire_slot() const
 {
     dispatch::dispatch_request slot_request;
     slot_request.priority = routed_.workspace != nullptr && routed_.workspace->priority
@@ -122,10 +160,7 @@
     slot_request.deadline =
         std::min((attempts_ == 0 ? routed_.arrived : now) + max_wait, deadline_ - min_time_left);
     slot_request.excluded = tried_endpoints_;
-    core::result<dispatch::work_queue::slot> acquired =
-        co_await service_.queue.acquire_slot(slot_request);
-    queue_time_ += core::runtime_clock::now() - now;
-    co_return acquired;
+    co_return co_await service_.queue.acquire_slot(slot_request);
 }
 
 template <proxy_dialect Dialect>
--- a/src/proxy/tests/tst_troubledendpoints.cpp
+++ b/src/proxy/tests/tst_troubledendpoints.cpp
@@ -3,7 +3,32 @@
 using namespace currantpitch;
 using namespace currantpitch::testing;
 
-TEST_GROUP_BASE(troubled_endpoints, flow_site){};
+namespace {
+
+struct troubled_site : flow_site {
+    proxy::service_state& service() { return shared.service(core::service_id("s")); }
+    /// The service's other streams get events for 2 s.
+    void let_other_streams_progress()
+    {
+        core::spawn(context.get_executor(), [](proxy::service_state& s) -> core::task<void> {
+            for (int i = 0; i < 40; ++i) {
+                s.last_progress = core::runtime_clock::now();
+                co_await core::sleep_for(50ms);
+            }
+        }(service()));
+    }
+    /// Lets another request run at the second endpoint, which has one slot.
+    std::optional<core::endpoint_id> take_slot_of_b()
+    {
+        dispatch::dispatch_request other;
+        other.excluded = {core::endpoint_id("a")};
+        return service().queue.slot_scheduler().start(other, core::runtime_clock::now());
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(troubled_endpoints, troubled_site){};
 
 TEST(troubled_endpoints, answer_without_an_id_is_not_forwarded)
 {
@@ -89,12 +114,7 @@
 TEST(troubled_endpoints, slow_stream_is_not_cut_while_no_other_endpoint_can_continue_it)
 {
     configure(routes::retry_policy::resumable_stream);
-    core::spawn(context.get_executor(), [](proxy::service_state& s) -> core::task<void> {
-        for (int i = 0; i < 40; ++i) {
-            s.last_progress = core::runtime_clock::now();
-            co_await core::sleep_for(50ms);
-        }
-    }(shared.service(core::service_id("s"))));
+    let_other_streams_progress();
     shared.endpoints.on_removal(core::endpoint_id("b"), core::runtime_clock::now());
     shared.apply_endpoints();
     // The pause is longer than the idle timeout of a stream while others make progress.
@@ -106,6 +126,38 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
+// A stream must not be given up for a slot that is not free.
+TEST(troubled_endpoints, silent_stream_is_not_cut_while_all_other_slots_are_in_use)
+{
+    configure(routes::retry_policy::resumable_stream);
+    let_other_streams_progress();
+    CHECK(take_slot_of_b().has_value());
+    a.replies = {{stream_head("7") + events(1, 2), reply::after_reply::close,
+                  events(3, 3) + "0\r\n\r\n", 1000ms}};
+    a.pause_before_repeated = 1200ms;
+    send_request();
+    CHECK(answer.find("id: 3") != std::string::npos);
+    CHECK(ends_with_last_chunk());
+}
+
+TEST(troubled_endpoints, silent_stream_is_resumed_when_another_slot_becomes_free)
+{
+    configure(routes::retry_policy::resumable_stream, 2500ms);
+    let_other_streams_progress();
+    CHECK(take_slot_of_b().has_value());
+    core::spawn(context.get_executor(), [](proxy::service_state& s) -> core::task<void> {
+        co_await core::sleep_for(1200ms);
+        s.queue.slot_scheduler().finish(core::endpoint_id("b"), dispatch::work_outcome::done, 1s,
+                                        core::runtime_clock::now());
+        s.queue.process_waiting();
+    }(service()));
+    a.replies = {{stream_head("7") + events(1, 2), reply::after_reply::hang}};
+    b.replies = {{stream_head("7") + events(3, 3) + "0\r\n\r\n"}};
+    send_request();
+    LONGS_EQUAL(1, b.received_requests.size());
+    CHECK(ends_with_last_chunk());
+}
+
 TEST(troubled_endpoints, stream_is_not_sent_to_another_rank_while_the_whole_group_pauses)
 {
     configure(routes::retry_policy::resumable_stream, 2500ms);
