Refuse requests that may outlast a planned stop

Cause: a stopping gateway took requests until its last moment, whatever their deadline. Usually callers have other addresses by then.

Result: request_that_may_outlast_the_stop_is_refused_and_not_run failed before ('expected 503, but was 200') and passes; all 67 tests of tst_proxy pass.

--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -413,6 +413,7 @@
     co_await core::sleep_for(shutdown_grace_period);
     const core::time_point deadline =
         stop_started_at + settings_.stop_timeout - stop_timeout_margin;
+    context_.stop_deadline = deadline;
     while (context_.in_flight > 0 && core::runtime_clock::now() < deadline) {
         co_await core::sleep_for(maintenance_interval);
     }
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -79,6 +79,9 @@
     std::size_t process_count = 1;
     std::size_t in_flight = 0;
     bool stopping = false;
+    /// End of a planned stop, once its grace period is over. Requests that may last longer are
+    /// refused from then on.
+    std::optional<core::time_point> stop_deadline;
 };
 
 } // namespace currantpitch::proxy
--- a/src/proxy/requesthandler.h
+++ b/src/proxy/requesthandler.h
@@ -23,6 +23,8 @@
     };
 
     routing_decision route_request(const caller_request& request) const;
+    /// Whether a planned stop may end the process before the request's deadline.
+    bool may_outlast_stop(const caller_request& request, const routes::route& route) const;
     core::task<void> forward(http::server_connection& caller, routed_request routed);
 
     proxy_context& context_;
@@ -40,6 +42,9 @@
     if (route == nullptr) {
         return {std::nullopt, {404, "no_route", std::nullopt}};
     }
+    if (may_outlast_stop(request, *route)) {
+        return {std::nullopt, {503, "stopping", std::nullopt}};
+    }
     const routes::workspace* workspace = nullptr;
     if (table->has_workspaces() && !route->allow_anonymous) {
         // Checked after the request was read, so that a key that was revoked before the request
@@ -69,6 +74,15 @@
     return {std::move(routed), {}};
 }
 
+template <proxy_dialect Dialect>
+bool request_handler<Dialect>::may_outlast_stop(const caller_request& request,
+                                                const routes::route& route) const
+{
+    return context_.stop_deadline &&
+           core::runtime_clock::now() + std::min(request.timeout, route.timeout) >
+               *context_.stop_deadline;
+}
+
 template <proxy_dialect Dialect>
 core::task<void> request_handler<Dialect>::operator()(http::server_connection& caller,
                                                       http::request received)
