--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -30,10 +30,11 @@
 private:
     using slot_result = core::result<dispatch::work_queue::slot>;
 
-    /// The slot of the next attempt, unless the last one has acquired it already.
+    /// Returns the slot that was acquired during the last attempt, or acquires one.
     core::task<slot_result> take_slot();
     core::task<slot_result> acquire_slot() const;
-    /// Acquires the slot of the next attempt while the current one goes on.
+    /// Acquires the slot of the next attempt while the current one goes on. Returns false if none
+    /// becomes free in time.
     core::task<bool> acquire_next_slot();
     /// Ends the request, as no further attempt is made.
     core::task<void> end_without_attempt(std::string_view reason);
@@ -60,7 +61,7 @@
     unsigned attempts_ = 0;
     bool may_have_run_ = false;
     std::set<core::endpoint_id> tried_endpoints_;
-    /// Acquired for an attempt that follows a silent one.
+    /// Slot of the next attempt, while the current one is silent.
     std::optional<dispatch::work_queue::slot> next_slot_;
     core::time_point attempt_started_at_;
     core::duration queue_time_{};
