Reset connections whose request is given up

Cause: while a host stands still for 4 s, requests that were sent to its endpoint wait there. Their callers leave after 2 s; the connection was closed in order, which delivers what was sent before. When the host goes on, its endpoint gets all of them.

Change: a client connection that is closed or destroyed while an answer is outstanding is reset. What its server has not received yet is discarded, and the server learns at once that nobody waits.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -54,6 +54,9 @@
 class client_connection::implementation {
 public:
     explicit implementation(const asio::any_io_executor& executor) : socket_(executor) {}
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    ~implementation() { close(); }
 
     core::task<core::result<void>> send(request message);
     core::task<core::result<response>> exchange(request message);
@@ -73,11 +76,14 @@
 
     beast::flat_buffer buffer_{max_unparsed_bytes};
     std::optional<stream_parser> stream_;
+    /// A request or a part of one was sent whose answer has not been read completely.
+    bool answer_outstanding_ = false;
 };
 
 core::task<core::result<void>> client_connection::implementation::send(request message)
 {
     beast::http::request<beast::http::string_body> out = to_beast(std::move(message));
+    answer_outstanding_ = true;
     boost::system::error_code failure;
     co_await beast::http::async_write(socket_, out,
                                       asio::redirect_error(asio::use_awaitable, failure));
@@ -102,6 +108,7 @@
     if (failure) {
         co_return error{errc::closed, failure.message()};
     }
+    answer_outstanding_ = false;
     response received = to_response_head(parser.get());
     received.body = std::move(parser.get().body());
     if (!parser.keep_alive()) {
@@ -130,6 +137,7 @@
     if (failure) {
         co_return error{errc::closed, failure.message()};
     }
+    answer_outstanding_ = !stream_->is_done();
     co_return to_response_head(stream_->get());
 }
 
@@ -147,6 +155,7 @@
         if (failure && failure != beast::http::error::need_buffer) {
             co_return error{errc::closed, failure.message()};
         }
+        answer_outstanding_ = !stream_->is_done();
         piece.resize(piece.size() - stream_->get().body().size);
         if (!piece.empty()) {
             co_return piece;
@@ -196,6 +205,10 @@
 void client_connection::implementation::close()
 {
     boost::system::error_code ignored;
+    if (answer_outstanding_ && socket_.is_open()) {
+        // Discards what the server has not received yet, and lets it stop at once.
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     socket_.close(ignored);
 }
 
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -10,7 +10,8 @@
 namespace currantpitch::http {
 
 /// A connection to an HTTP server that carries one exchange at a time. The caller sets the deadline
-/// of each operation.
+/// of each operation. A connection that is closed or destroyed before an answer has been read
+/// completely is reset, so that the server does not begin a request that nobody waits for.
 class client_connection {
 public:
     explicit client_connection(const core::asio::any_io_executor& executor);
