Wait until a killed gateway is gone before the soak starts it anew

The harness waits for agents in this case, not for gateways. The kernel's log has worker pools that stood still for 35 to 45 s at that time; that this delayed the end of the processes is suspected, not shown.

Change: the fault ends when the killed process is gone. No check is changed.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -103,6 +103,8 @@
     if (f.kind == fault_kind::gateway_killed) {
         n.process->signal(SIGKILL);
         co_await core::sleep_for(f.duration);
+        // On a host that stands still, a killed process may exist for longer than the fault lasts.
+        co_await n.process->wait_for_exit(guarantee_limits{}.stop);
         site_.ensure_running(i);
     }
     else if (f.kind == fault_kind::gateway_paused) {
