--- /dev/null
+++ b/src/backpressure/tests/tst_endpointsignals.cpp
@@ -0,0 +1,53 @@
+#include "backpressure/backpressureconstants.h"
+#include "backpressure/endpointsignals.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+
+TEST_GROUP(endpoint_signals)
+{
+    backpressure::endpoint_signals signals;
+    core::endpoint_id a{"a"};
+    core::time_point now{1h};
+
+    bool answer(std::optional<double> limit, core::duration asked_before = 0ms,
+                std::uint64_t incarnation = 1)
+    {
+        return signals.on_answer({a, core::incarnation{incarnation}, limit, now - asked_before},
+                                 now);
+    }
+};
+
+TEST(endpoint_signals, limit_lasts_until_a_later_answer_names_none)
+{
+    CHECK(!signals.request_limit(a));
+    CHECK(answer(2.5));
+    CHECK(!answer(2.5));
+    CHECK(signals.request_limit(a) == 2.5);
+    now += 100ms;
+    // The request was sent before the limit was named.
+    CHECK(!answer(std::nullopt, 150ms));
+    CHECK(signals.request_limit(a) == 2.5);
+    CHECK(answer(std::nullopt, 50ms));
+    CHECK(!signals.request_limit(a));
+}
+
+TEST(endpoint_signals, limit_is_bounded)
+{
+    CHECK(answer(-1));
+    CHECK(signals.request_limit(a) == backpressure::min_request_limit);
+    CHECK(answer(1e300));
+    CHECK(signals.request_limit(a) == backpressure::max_request_limit);
+}
+
+TEST(endpoint_signals, limit_ends_with_the_incarnation)
+{
+    CHECK(answer(2, 0ms, 2));
+    CHECK(!answer(std::nullopt, -1ms, 1));
+    signals.on_registered(a, core::incarnation{2});
+    CHECK(signals.request_limit(a) == 2.0);
+    signals.on_registered(a, core::incarnation{3});
+    CHECK(!signals.request_limit(a));
+}
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -59,6 +59,8 @@
                                          const directory::endpoint_record& record);
     core::task<attempt_outcome> read_answer(http::client_connection& connection,
                                             const directory::endpoint_record& record);
+    /// Records what the endpoint's answer to this request says of the endpoint.
+    void record_signal(const answer_metadata& metadata, const directory::endpoint_record& record);
     core::task<attempt_outcome> relay_stream(http::client_connection& connection,
                                              http::response head);
     /// Records the attempt as evidence against the request if the endpoint has crashed.
@@ -95,6 +97,7 @@
     core::time_point deadline_;
     next_attempt next_;
     core::time_point last_activity_;
+    core::time_point sent_at_;
     bool head_received_ = false;
     bool progressed_ = false;
 };
@@ -206,6 +209,7 @@
     call.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
         deadline_ - core::runtime_clock::now());
     call.last_event_id = answer_.events().last_id();
+    sent_at_ = core::runtime_clock::now();
     http::request message = Dialect::make_endpoint_request(routed_.request, call);
     const core::result<void> sent =
         co_await connection.send(std::move(message), core::time_point::max());
@@ -236,6 +240,9 @@
         const bool is_stream_answer = stream() && metadata.genuine && !metadata.id.empty() &&
                                       head.value().status / 100 == 2 && !metadata.not_run;
         const bool mismatched = !metadata.id.empty() && metadata.id != routed_.request.id;
+        if (!mismatched && !metadata.id.empty()) {
+            record_signal(metadata, record);
+        }
         if (is_stream_answer && !mismatched) {
             head_received_ = true;
             outcome = co_await relay_stream(connection, std::move(head.value()));
@@ -293,6 +300,19 @@
     co_return outcome;
 }
 
+template <proxy_dialect Dialect>
+void endpoint_attempt<Dialect>::record_signal(const answer_metadata& metadata,
+                                              const directory::endpoint_record& record)
+{
+    if (metadata.request_limit_unreadable) {
+        core::counter_for("endpoint_limits_unreadable_total").add();
+        return;
+    }
+    context_.on_endpoint_signal(
+        {record.endpoint, record.incarnation, metadata.request_limit, sent_at_},
+        routed_.request.id);
+}
+
 template <proxy_dialect Dialect>
 core::task<attempt_outcome>
 endpoint_attempt<Dialect>::relay_stream(http::client_connection& connection, http::response head)
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -1,5 +1,6 @@
 #include "proxy/proxycontext.h"
 
+#include "core/eventlog.h"
 #include "proxy/proxyconstants.h"
 
 namespace currantpitch::proxy {
@@ -42,6 +43,7 @@
     for (const std::pair<const core::endpoint_id, directory::endpoint_record>& entry :
          endpoints.all()) {
         const directory::endpoint_record& record = entry.second;
+        signals.on_registered(record.endpoint, record.incarnation);
         if (endpoints.usable(record.endpoint)) {
             by_service[record.service].push_back(
                 {record.endpoint, record.failure_domain, record.concurrency});
@@ -56,6 +58,19 @@
     }
 }
 
+void proxy_context::on_endpoint_signal(const backpressure::endpoint_signal& signal,
+                                       const std::string& request_id)
+{
+    if (!signals.on_answer(signal, core::runtime_clock::now())) {
+        return;
+    }
+    core::log_event("endpoint_limit")
+        .field("endpoint", signal.endpoint)
+        .field("incarnation", signal.incarnation)
+        .field("per_second", signals.request_limit(signal.endpoint).value_or(0))
+        .field("request", request_id);
+}
+
 void proxy_context::set_process_count(std::size_t processes)
 {
     process_count = processes;
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/retrywindow.h"
+#include "backpressure/endpointsignals.h"
 #include "core/task.h"
 #include "directory/endpointdirectory.h"
 #include "dispatch/concurrencycontroller.h"
@@ -57,6 +58,9 @@
     service_state& service(const core::service_id& name);
     /// Updates every service with its current endpoints and its profile from the configuration.
     void apply_endpoints();
+    /// Records what an endpoint's answer to this request says about the requests that it accepts.
+    void on_endpoint_signal(const backpressure::endpoint_signal& signal,
+                            const std::string& request_id);
     /// Sets the number of processes that share the endpoints and the retry allowance, including
     /// this one.
     void set_process_count(std::size_t processes);
@@ -69,6 +73,7 @@
     proxy_bounds bounds;
     routes::configuration_view configuration;
     directory::endpoint_directory endpoints;
+    backpressure::endpoint_signals signals;
     connection_pool connections;
     std::mt19937_64 random;
     core::time_point started_at;
--- a/src/proxy/proxymessages.h
+++ b/src/proxy/proxymessages.h
@@ -50,6 +50,10 @@
     bool not_run = false;
     /// Time for which the endpoint keeps an idle connection open.
     std::optional<std::chrono::milliseconds> keep_alive_timeout;
+    /// Requests per second that the endpoint accepts from all entries together.
+    std::optional<double> request_limit;
+    /// The answer names a limit that is no number, so that nothing is known of it.
+    bool request_limit_unreadable = false;
 };
 
 /// A refusal that the proxy itself generates.
