Share the limits that endpoints name among all entries

Cause: no code read the limit, and no entry could keep a sum over all of them by itself.

Change: limits are kept by endpoint and incarnation in the slice backpressure, told to all entries, and each request to a limited endpoint needs a permit from one owner, which issues them at the limit's rate. Entries that reach each other pool equal parts; one that gets no answer uses its own. A request that no endpoint can admit in time is refused at once, with a Retry-After by place in line.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -4,6 +4,7 @@
 #include "decisions/entrysetsbench.h"
 #include "decisions/fairnessbench.h"
 #include "decisions/ledgerbench.h"
+#include "decisions/limitsbench.h"
 #include "decisions/planningbench.h"
 #include "decisions/poptrace.h"
 #include "decisions/routingbench.h"
@@ -76,6 +77,7 @@
         bench::run_fairness);
     add("ledger", "Platform writes for each keyed call", bench::run_ledger);
     add("dissemination", "Time until a change is in force everywhere", bench::run_dissemination);
+    add("limits", "Ways in which entries share the limit of an endpoint", bench::run_limits);
     add("planning",
         "Layouts of 63 ranks with 8 layers of 252 experts: skew, copies and time of a plan.\n"
         "skew: load of the busiest rank over the mean; host_ms: time on a host with 0.15 of a core",
--- a/src/backpressure/backpressureconstants.h
+++ b/src/backpressure/backpressureconstants.h
@@ -1,10 +1,35 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
+
 namespace currantpitch::backpressure {
 
 /// Bounds on the limit of an endpoint, in requests per second. An endpoint that accepts fewer still
 /// gets a request now and then, whose answer shows whether its limit has changed.
 inline constexpr double min_request_limit = 0.1;
 inline constexpr double max_request_limit = 1e6;
+/// Number of permits of an endpoint that may start at the same time after a pause.
+inline constexpr int max_permit_burst = 2;
+/// Time for which a permit is valid. A permit that is not used by then is lost.
+inline constexpr std::chrono::milliseconds permit_lifetime{500};
+/// Upper bound on the time before its start at which a permit is granted.
+inline constexpr std::chrono::milliseconds max_permit_lead{500};
+/// Time for which a request waits for a permit before another endpoint is chosen.
+inline constexpr std::chrono::milliseconds permit_wait{30};
+/// Number of endpoints whose permits are requested for a request before it is queued.
+inline constexpr int max_permit_requests = 3;
+/// Upper bound on the time after which an entry that got no permit asks again.
+inline constexpr std::chrono::milliseconds max_permit_retry{5000};
+/// Time without an answer after which an entry asks for a permit again, and after which the owner
+/// of the permits counts as unreachable.
+inline constexpr std::chrono::milliseconds permit_answer_timeout{300};
+/// Time after which the part of an unreachable entry is used by the others, if they are the
+/// majority.
+inline constexpr std::chrono::seconds absent_part_lifetime{10};
+/// Time for which what an endpoint has said is kept while the endpoint is not registered.
+inline constexpr std::chrono::seconds unregistered_signal_lifetime{30};
+/// Maximum number of endpoints in one report to a peer.
+inline constexpr std::size_t max_reported_limits = 1000;
 
 } // namespace currantpitch::backpressure
--- /dev/null
+++ b/src/backpressure/backpressuremessages.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/identifiers.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace currantpitch::backpressure {
+
+/// Message types 112 to 127 are reserved for backpressure.
+enum message_number : std::uint8_t {
+    limit_report_type = 112,
+    permit_request_type = 113,
+    permit_offer_type = 114,
+};
+
+/// The limit that an endpoint has named in an answer, or that it no longer names.
+struct reported_limit {
+    core::endpoint_id endpoint;
+    core::incarnation incarnation;
+    /// Requests per second that the endpoint accepts from all entries together.
+    std::optional<double> per_second;
+    /// Time from the sending of the answered request until the report was sent.
+    std::chrono::milliseconds asked_ago{};
+};
+template <class Archive>
+void describe(Archive& archive, reported_limit& m)
+{
+    archive(m.endpoint, m.incarnation, m.per_second, m.asked_ago);
+}
+
+/// Limits that an entry has learned from answers. Sent to the other entries when one changes, and
+/// all of them to an entry that connects.
+struct limit_report {
+    static constexpr std::uint8_t type = limit_report_type;
+    std::vector<reported_limit> limits;
+};
+template <class Archive>
+void describe(Archive& archive, limit_report& m)
+{
+    archive(m.limits);
+}
+
+/// Asks the owner of an endpoint's permits for one of them.
+struct permit_request {
+    static constexpr std::uint8_t type = permit_request_type;
+    core::endpoint_id endpoint;
+    /// Requests per second that the endpoint accepts, as known to the sender.
+    double per_second = 0;
+    /// Time within which the permit must start.
+    std::chrono::milliseconds max_wait{};
+};
+template <class Archive>
+void describe(Archive& archive, permit_request& m)
+{
+    archive(m.endpoint, m.per_second, m.max_wait);
+}
+
+/// Answers a permit_request.
+struct permit_offer {
+    static constexpr std::uint8_t type = permit_offer_type;
+    core::endpoint_id endpoint;
+    bool granted = false;
+    /// Time after which the permit is valid or, if none is granted, after which to ask again.
+    std::chrono::milliseconds starts_in{};
+};
+template <class Archive>
+void describe(Archive& archive, permit_offer& m)
+{
+    archive(m.endpoint, m.granted, m.starts_in);
+}
+
+} // namespace currantpitch::backpressure
--- a/src/backpressure/endpointsignals.h
+++ b/src/backpressure/endpointsignals.h
@@ -1,10 +1,12 @@
 #pragma once
 
-#include "core/identifiers.h"
+#include "backpressure/backpressuremessages.h"
 #include "core/runtimeclock.h"
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace currantpitch::backpressure {
 
@@ -18,8 +20,17 @@
     core::time_point asked_at;
 };
 
+/// Whether a request may be sent to an endpoint.
+enum class admission {
+    unlimited,   ///< the endpoint has named no limit
+    permitted,   ///< there is a permit
+    requestable, ///< a permit may be requested
+    pending,     ///< the answer to the request for a permit, or the start of the permit, is awaited
+    refused,     ///< no permit is available for now
+};
+
 /// What the endpoints have said themselves about the requests that they accept, apart from what the
-/// store says of them.
+/// store says of them. A request for an endpoint that has named a limit needs a permit.
 class endpoint_signals {
 public:
     /// Records what an answer says, received by this entry or by a peer. An answer without a limit
@@ -28,16 +39,45 @@
     bool on_answer(const endpoint_signal& signal, core::time_point now);
     /// Forgets what an earlier incarnation of a registered endpoint has said.
     void on_registered(const core::endpoint_id& endpoint, core::incarnation incarnation);
+    /// Forgets the endpoints that have not been registered for a while.
+    void retain(const std::set<core::endpoint_id>& registered, core::time_point now);
+    /// Records the answer to a request for a permit. Returns whether a permit was expected.
+    bool on_offer(const permit_offer& offer, core::time_point now);
 
     /// Requests per second that the endpoint accepts from all entries together, within the bounds
     /// min_request_limit and max_request_limit, or nullopt if it has named no limit.
     std::optional<double> request_limit(const core::endpoint_id& endpoint) const;
+    /// The known limits, as a report to a peer, at most max_reported_limits of them.
+    limit_report snapshot(core::time_point now) const;
+
+    admission admission_of(const core::endpoint_id& endpoint, core::time_point now) const;
+    /// Whether a request may be sent to the endpoint now.
+    bool admits(const core::endpoint_id& endpoint, core::time_point now) const;
+    /// Earliest time at which a request may be sent to the endpoint, as far as it is known.
+    core::time_point earliest_admission(const core::endpoint_id& endpoint,
+                                        core::time_point now) const;
+    /// Uses the permit for a request to the endpoint if it needs one.
+    void take_permit(const core::endpoint_id& endpoint);
+    /// Requests a permit that starts within max_wait if the endpoint's admission is requestable.
+    /// The permit may be there when the call returns.
+    void request_permit(const core::endpoint_id& endpoint, std::chrono::milliseconds max_wait,
+                        core::time_point now);
+
+    /// Asks the owner of the endpoint's permits for one. The answer is passed to on_offer.
+    std::function<void(const core::endpoint_id&, double per_second,
+                       std::chrono::milliseconds max_wait)>
+        ask_for_permit = [](const core::endpoint_id&, double, std::chrono::milliseconds) {
+        };
 
 private:
+    enum class permit_state { none, asked, granted, refused };
     struct endpoint_state {
         core::incarnation incarnation;
         double request_limit = 0;
         core::time_point named_at;
+        permit_state permit = permit_state::none;
+        /// Time of the question, start of the permit, or time at which to ask again.
+        core::time_point permit_at;
     };
 
     std::map<core::endpoint_id, endpoint_state> limited_;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/scheduler.h"
 
+#include "backpressure/backpressureconstants.h"
 #include "dispatch/dispatchconstants.h"
 
 #include <algorithm>
@@ -162,11 +163,36 @@
     return static_cast<double>(ejected) > max_ejected_fraction * static_cast<double>(available);
 }
 
+bool scheduler::limited(const endpoint_state& s) const
+{
+    return signals_ != nullptr && signals_->request_limit(s.properties.endpoint).has_value();
+}
+
+double scheduler::usable_slots(const endpoint_state& s) const
+{
+    if (!s.available) {
+        return 0;
+    }
+    return limited(s) ? s.own_requests + peer_load(s.properties.endpoint)
+                      : std::min(limit_, static_cast<double>(s.properties.concurrency));
+}
+
+backpressure::admission scheduler::admission_of(const endpoint_state& s, core::time_point now) const
+{
+    return signals_ == nullptr ? backpressure::admission::unlimited
+                               : signals_->admission_of(s.properties.endpoint, now);
+}
+
 std::vector<scheduler::candidate> scheduler::candidates(const dispatch_request& request,
+                                                        bool include_requestable,
                                                         core::time_point now)
 {
+    using backpressure::admission;
     const bool ignore_ejections = too_many_ejected(now);
+    // Permits are shared out among the entries already.
+    const bool limited_only = fair_share_used(now);
     std::vector<candidate> found;
+    bool any_permitted = false;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
         const endpoint_state& s = entry.second;
         const bool eligible = s.available && !request.excluded.contains(entry.first) &&
@@ -174,11 +200,20 @@
         if (!eligible) {
             continue;
         }
+        const admission a = admission_of(s, now);
+        const bool usable = (a == admission::unlimited && !limited_only) ||
+                            a == admission::permitted ||
+                            (a == admission::requestable && include_requestable);
         const unsigned load = s.own_requests + peer_load(entry.first);
-        if (load < s.properties.concurrency || load == 0) {
-            found.push_back({&s, load});
+        if (usable && (load < s.properties.concurrency || load == 0)) {
+            found.push_back({&s, load, a == admission::permitted});
+            any_permitted = any_permitted || a == admission::permitted;
         }
     }
+    if (any_permitted) {
+        // A permit is lost if it is not used soon.
+        std::erase_if(found, [](const candidate& c) { return !c.permitted; });
+    }
     return found;
 }
 
@@ -190,7 +225,7 @@
     double own = 0;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
         const endpoint_state& s = entry.second;
-        slots += s.available ? std::min(limit_, static_cast<double>(s.properties.concurrency)) : 0;
+        slots += usable_slots(s);
         used += s.own_requests + peer_load(entry.first);
         own += s.own_requests;
     }
@@ -199,12 +234,9 @@
 }
 
 const scheduler::endpoint_state* scheduler::choose(const dispatch_request& request,
-                                                   core::time_point now)
+                                                   bool include_requestable, core::time_point now)
 {
-    if (fair_share_used(now)) {
-        return nullptr;
-    }
-    std::vector<candidate> all = candidates(request, now);
+    std::vector<candidate> all = candidates(request, include_requestable, now);
     // Sample the own failure domain first, then all remaining candidates.
     const auto other_domains = std::partition(all.begin(), all.end(), [this](const candidate& c) {
         return c.endpoint->properties.failure_domain == own_domain_;
@@ -228,15 +260,50 @@
     return best;
 }
 
+std::optional<core::endpoint_id> scheduler::preferred(const dispatch_request& request,
+                                                      core::time_point now)
+{
+    const endpoint_state* const chosen = choose(request, true, now);
+    return chosen == nullptr ? std::nullopt
+                             : std::optional<core::endpoint_id>(chosen->properties.endpoint);
+}
+
+void scheduler::request_permit(const core::endpoint_id& endpoint, core::time_point now)
+{
+    if (signals_ != nullptr) {
+        signals_->request_permit(endpoint, backpressure::permit_wait, now);
+    }
+}
+
+bool scheduler::awaits_permit(const core::endpoint_id& endpoint, core::time_point now) const
+{
+    return signals_ != nullptr &&
+           signals_->admission_of(endpoint, now) == backpressure::admission::pending;
+}
+
+bool scheduler::start_at(const core::endpoint_id& endpoint, core::time_point now)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end() || !found->second.available ||
+        (signals_ != nullptr && !signals_->admits(endpoint, now))) {
+        return false;
+    }
+    ++found->second.own_requests;
+    if (signals_ != nullptr) {
+        signals_->take_permit(endpoint);
+    }
+    return true;
+}
+
 std::optional<core::endpoint_id> scheduler::start(const dispatch_request& request,
                                                   core::time_point now)
 {
-    const endpoint_state* const chosen = choose(request, now);
+    const endpoint_state* const chosen = choose(request, false, now);
     if (chosen == nullptr) {
         return std::nullopt;
     }
     const core::endpoint_id endpoint = chosen->properties.endpoint;
-    ++endpoints_[endpoint].own_requests;
+    start_at(endpoint, now);
     return endpoint;
 }
 
@@ -248,6 +315,23 @@
                        });
 }
 
+core::time_point scheduler::earliest_start(const dispatch_request& request,
+                                           core::time_point now) const
+{
+    core::time_point earliest = core::time_point::max();
+    for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
+        if (!entry.second.available || request.excluded.contains(entry.first)) {
+            continue;
+        }
+        earliest = std::min(
+            earliest, signals_ == nullptr ? now : signals_->earliest_admission(entry.first, now));
+        if (earliest <= now) {
+            break;
+        }
+    }
+    return earliest;
+}
+
 std::optional<ticket> scheduler::enqueue(const dispatch_request& request)
 {
     if (waiting_.size() >= max_waiting) {
@@ -279,14 +363,46 @@
         grants.push_back({it->number, *endpoint});
         it = waiting_.erase(it);
     }
+    request_permits(now);
     return grants;
 }
 
+void scheduler::request_permits(core::time_point now)
+{
+    if (signals_ == nullptr || waiting_.empty()) {
+        return;
+    }
+    std::vector<core::endpoint_id> requestable;
+    std::size_t pending = 0;
+    for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
+        const backpressure::admission a = admission_of(entry.second, now);
+        pending += a == backpressure::admission::pending ? 1 : 0;
+        if (entry.second.available && a == backpressure::admission::requestable) {
+            requestable.push_back(entry.first);
+        }
+    }
+    if (requestable.empty()) {
+        return;
+    }
+    std::shuffle(requestable.begin(), requestable.end(), random_);
+    const std::chrono::milliseconds max_wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::max(waiting_.begin()->request.deadline - now, core::duration::zero()));
+    for (const core::endpoint_id& endpoint : requestable) {
+        if (pending++ >= waiting_.size()) {
+            break;
+        }
+        signals_->request_permit(endpoint, max_wait, now);
+    }
+}
+
 std::vector<ticket> scheduler::take_expired(core::time_point now)
 {
     std::vector<ticket> expired;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
-        if (it->request.deadline > now) {
+        const bool may_start =
+            it->request.deadline > now && earliest_start(it->request, now) <= it->request.deadline;
+        if (may_start) {
             ++it;
             continue;
         }
@@ -352,9 +468,7 @@
     // requests that are already waiting start first.
     double slots = 0;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
-        slots += entry.second.available
-                     ? std::min(limit_, static_cast<double>(entry.second.properties.concurrency))
-                     : 0;
+        slots += usable_slots(entry.second);
     }
     const double queue_length = static_cast<double>(waiting_.size() + 1);
     const std::chrono::milliseconds expected(
@@ -362,4 +476,30 @@
     return std::clamp(expected, min_retry_after, max_retry_after);
 }
 
+std::chrono::milliseconds scheduler::retry_after_limit(core::time_point now)
+{
+    double per_second = 0;
+    for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
+        per_second += entry.second.available && signals_ != nullptr
+                          ? signals_->request_limit(entry.first).value_or(0)
+                          : 0;
+    }
+    const double own_per_second = per_second / static_cast<double>(process_count_);
+    const core::duration interval = std::min<core::duration>(
+        std::chrono::duration_cast<core::duration>(
+            std::chrono::duration<double>(1 / std::max(own_per_second, 1e-3))),
+        max_retry_after);
+    const core::time_point earliest = std::max(now, earliest_start({}, now));
+    last_return_ = std::max(last_return_ + interval, earliest);
+    if (last_return_ - now > max_retry_after) {
+        // More callers wait than the limits allow: they return spread over the last half.
+        last_return_ = now + max_retry_after;
+        std::uniform_int_distribution<std::int64_t> spread(max_retry_after.count() / 2,
+                                                           max_retry_after.count());
+        return std::chrono::milliseconds(spread(random_));
+    }
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(last_return_ - now),
+                    min_retry_after);
+}
+
 } // namespace currantpitch::dispatch
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backpressure/endpointsignals.h"
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
 #include "dispatch/loadreporttiming.h"
@@ -56,7 +57,8 @@
 /// scheduler picks the least loaded of a few randomly sampled endpoints. If every entry picked the
 /// least loaded one of all, they would overload it before the next load reports arrive. Where the
 /// service's endpoints work independently, the load is weighted by the endpoint's service time.
-/// Once most slots are in use, an entry is limited to its fair share of them.
+/// Once most slots are in use, an entry is limited to its fair share of them. An endpoint that
+/// limits its requests is chosen only with a permit, which is taken along with the slot.
 class scheduler {
 public:
     scheduler(core::failure_domain_id own_domain, bool weigh_by_latency, std::uint64_t seed)
@@ -77,23 +79,39 @@
     /// Sets the limit of requests per endpoint. The lower one of this limit and an endpoint's
     /// concurrency is its number of slots in the calculation of the fair share and retry_after.
     void set_limit(double requests) { limit_ = requests; }
+    /// Sets what the endpoints say of the requests that they accept. The signals must outlive the
+    /// scheduler.
+    void set_signals(backpressure::endpoint_signals& signals) { signals_ = &signals; }
     /// Replaces the peer's load report.
     void on_peer_load(const core::host_id& peer, const std::map<core::endpoint_id, unsigned>& load,
                       core::time_point now);
     /// Removes the peer's load report.
     void remove_peer(const core::host_id& peer);
 
+    /// Endpoint that the request should use, among those that admit requests and those whose permit
+    /// may be requested. Returns nullopt if the request has to wait or no endpoint is left.
+    std::optional<core::endpoint_id> preferred(const dispatch_request& request,
+                                               core::time_point now);
+    /// Requests a permit of the endpoint for a request that does not wait for long.
+    void request_permit(const core::endpoint_id& endpoint, core::time_point now);
+    bool awaits_permit(const core::endpoint_id& endpoint, core::time_point now) const;
+    /// Starts the request at the endpoint if it admits requests. Returns whether it has started.
+    bool start_at(const core::endpoint_id& endpoint, core::time_point now);
     /// Starts the request and returns its endpoint. Returns nullopt if the request has to wait or
     /// no endpoint is left.
     std::optional<core::endpoint_id> start(const dispatch_request& request, core::time_point now);
     /// Whether the request may run at any of the endpoints, now or later.
     bool has_candidate(const dispatch_request& request) const;
+    /// Earliest time at which the request may start because of the endpoints' limits. Whether an
+    /// endpoint has a free slot is not taken into account.
+    core::time_point earliest_start(const dispatch_request& request, core::time_point now) const;
     /// Adds the request to the waiting ones. Returns nullopt if too many are waiting.
     std::optional<ticket> enqueue(const dispatch_request& request);
     void cancel(ticket number);
     /// Removes and returns the waiting requests that start now. They count as running.
     std::vector<dispatch_grant> take_grants(core::time_point now);
-    /// Removes and returns the waiting requests whose deadline has passed.
+    /// Removes and returns the waiting requests whose deadline has passed, or that cannot start
+    /// before it.
     std::vector<ticket> take_expired(core::time_point now);
     /// Ends a running request.
     void finish(const core::endpoint_id& endpoint, work_outcome outcome,
@@ -109,6 +127,9 @@
     unsigned load_of(const core::endpoint_id& endpoint, core::time_point now);
     /// Time after which a retry is likely to find a free slot.
     std::chrono::milliseconds retry_after() const;
+    /// Time after which a retry is likely to find a permit, if all endpoints limit their requests.
+    /// Callers that are refused one after another get successive times.
+    std::chrono::milliseconds retry_after_limit(core::time_point now);
 
 private:
     struct endpoint_state {
@@ -136,10 +157,21 @@
     struct candidate {
         const endpoint_state* endpoint = nullptr;
         unsigned load = 0;
+        /// It limits its requests, and there is a permit.
+        bool permitted = false;
     };
 
-    const endpoint_state* choose(const dispatch_request& request, core::time_point now);
-    std::vector<candidate> candidates(const dispatch_request& request, core::time_point now);
+    bool limited(const endpoint_state& s) const;
+    /// Number of slots that count for the fair share and retry_after. An endpoint that limits its
+    /// requests has none to spare.
+    double usable_slots(const endpoint_state& s) const;
+    backpressure::admission admission_of(const endpoint_state& s, core::time_point now) const;
+    const endpoint_state* choose(const dispatch_request& request, bool include_requestable,
+                                 core::time_point now);
+    std::vector<candidate> candidates(const dispatch_request& request, bool include_requestable,
+                                      core::time_point now);
+    /// Requests permits for the waiting requests, at most one for each.
+    void request_permits(core::time_point now);
     /// Whether most slots are in use and this entry uses its fair share of them.
     bool fair_share_used(core::time_point now);
     unsigned peer_load(const core::endpoint_id& endpoint) const;
@@ -151,6 +183,9 @@
 
     core::failure_domain_id own_domain_;
     bool weigh_by_latency_;
+    backpressure::endpoint_signals* signals_ = nullptr;
+    /// Time at which the caller that was refused last for want of a permit returns.
+    core::time_point last_return_;
     std::mt19937_64 random_;
     double limit_ = 1e9;
     std::map<core::endpoint_id, endpoint_state> endpoints_;
--- a/src/dispatch/tests/tst_scheduler.cpp
+++ b/src/dispatch/tests/tst_scheduler.cpp
@@ -1,3 +1,4 @@
+#include "backpressure/backpressureconstants.h"
 #include "dispatch/concurrencycontroller.h"
 #include "dispatch/dispatchconstants.h"
 #include "dispatch/scheduler.h"
@@ -314,3 +315,121 @@
     LONGS_EQUAL(3, scheduler.load_of(a, now + 1500ms));
     LONGS_EQUAL(0, scheduler.load_of(a, now + 4s));
 }
+
+TEST_GROUP(schedulers_with_limits)
+{
+    dispatch::scheduler scheduler{here, true, 1};
+    backpressure::endpoint_signals signals;
+    core::time_point now{1h};
+    std::vector<core::endpoint_id> asked;
+
+    void setup() override
+    {
+        scheduler.set_signals(signals);
+        scheduler.set_endpoints({endpoint(a, 100), endpoint(b, 100)});
+        signals.ask_for_permit = [this](const core::endpoint_id& e, double,
+                                        std::chrono::milliseconds) {
+            asked.push_back(e);
+        };
+    }
+    void limit(const core::endpoint_id& e, double per_second)
+    {
+        signals.on_answer({e, core::incarnation{1}, per_second, now}, now);
+    }
+    void offer(const core::endpoint_id& e, bool granted, std::chrono::milliseconds starts_in)
+    {
+        signals.on_offer({e, granted, starts_in}, now);
+    }
+    dispatch::dispatch_request request()
+    {
+        dispatch::dispatch_request r;
+        r.arrived = now;
+        r.deadline = now + 100ms;
+        return r;
+    }
+};
+
+// Endpoints that had named a limit were chosen as often as the others.
+TEST(schedulers_with_limits, limited_endpoint_is_chosen_without_a_permit)
+{
+    limit(a, 1);
+    for (int i = 0; i < 50; ++i) {
+        CHECK(scheduler.start(request(), now) == b);
+    }
+    CHECK(!scheduler.start_at(a, now));
+}
+
+TEST(schedulers_with_limits, permit_serves_one_request_and_expires)
+{
+    limit(a, 1);
+    limit(b, 1);
+    scheduler.request_permit(a, now);
+    CHECK(!scheduler.start(request(), now));
+    offer(a, true, 20ms);
+    CHECK(!scheduler.start(request(), now));
+    now += 20ms;
+    CHECK(scheduler.start(request(), now) == a);
+    CHECK(!scheduler.start(request(), now));
+    scheduler.request_permit(a, now);
+    offer(a, true, 0ms);
+    now += backpressure::permit_lifetime;
+    CHECK(!scheduler.start(request(), now));
+}
+
+TEST(schedulers_with_limits, permit_is_used_before_other_endpoints)
+{
+    limit(a, 1);
+    scheduler.request_permit(a, now);
+    offer(a, true, 0ms);
+    scheduler.on_peer_load(core::host_id("peer"), {{a, 50}}, now);
+    CHECK(scheduler.preferred(request(), now) == a);
+}
+
+TEST(schedulers_with_limits, requests_that_get_no_permit_in_time_wait_for_nothing)
+{
+    limit(a, 1);
+    limit(b, 1);
+    CHECK(scheduler.earliest_start(request(), now) == now);
+    const std::optional<dispatch::ticket> waiting = scheduler.enqueue(request());
+    CHECK(scheduler.take_grants(now).empty());
+    LONGS_EQUAL(1, asked.size());
+    const core::endpoint_id first = asked.front();
+    offer(first, false, 400ms);
+    CHECK(scheduler.take_expired(now).empty());
+    CHECK(scheduler.take_grants(now).empty());
+    LONGS_EQUAL(2, asked.size());
+    offer(asked.back(), true, 300ms);
+    CHECK(scheduler.earliest_start(request(), now) == now + 300ms);
+    CHECK(scheduler.take_expired(now).front() == *waiting);
+}
+
+TEST(schedulers_with_limits, refused_callers_return_one_after_another)
+{
+    limit(a, 2);
+    limit(b, 2);
+    scheduler.set_process_count(2);
+    const std::chrono::milliseconds first = scheduler.retry_after_limit(now);
+    const std::chrono::milliseconds second = scheduler.retry_after_limit(now);
+    CHECK(second - first >= 300ms);
+    std::set<std::int64_t> later;
+    for (int i = 0; i < 20; ++i) {
+        later.insert(scheduler.retry_after_limit(now).count());
+    }
+    CHECK(later.size() > 10);
+}
+
+TEST(schedulers_with_limits, limited_endpoints_leave_no_slots_to_the_fair_share)
+{
+    scheduler.set_endpoints({endpoint(a, 10), endpoint(b, 10)});
+    scheduler.set_process_count(2);
+    limit(a, 1);
+    // The peer uses its share of the slots at b.
+    scheduler.on_peer_load(core::host_id("peer"), {{b, 5}}, now);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(scheduler.start(request(), now) == b);
+    }
+    CHECK(!scheduler.start(request(), now));
+    scheduler.request_permit(a, now);
+    offer(a, true, 0ms);
+    CHECK(scheduler.start(request(), now) == a);
+}
--- a/src/dispatch/workqueue.cpp
+++ b/src/dispatch/workqueue.cpp
@@ -1,10 +1,21 @@
 #include "dispatch/workqueue.h"
 
+#include "backpressure/backpressureconstants.h"
+
 namespace currantpitch::dispatch {
 
 using core::errc;
 using core::error;
 
+namespace {
+
+error limited_error()
+{
+    return {errc::limited, "no endpoint accepts a request before the deadline"};
+}
+
+} // namespace
+
 work_queue::slot::~slot()
 {
     if (queue_ == nullptr) {
@@ -27,16 +38,18 @@
 
 core::task<core::result<work_queue::slot>> work_queue::acquire_slot(dispatch_request request)
 {
-    const core::time_point now = core::runtime_clock::now();
     if (!slot_scheduler_.has_candidate(request)) {
         co_return error{errc::unavailable, "no endpoint"};
     }
     if (slot_scheduler_.waiting() == 0 || !request.excluded.empty()) {
-        const std::optional<core::endpoint_id> endpoint = slot_scheduler_.start(request, now);
+        const std::optional<core::endpoint_id> endpoint = co_await start_now(request);
         if (endpoint) {
             co_return slot(*this, *endpoint);
         }
     }
+    if (slot_scheduler_.earliest_start(request, core::runtime_clock::now()) > request.deadline) {
+        co_return limited_error();
+    }
     const std::optional<ticket> number = slot_scheduler_.enqueue(request);
     if (!number) {
         co_return error{errc::refused, "too many requests are waiting"};
@@ -48,6 +61,9 @@
         co_await registered.state->done.wait_until(request.deadline);
         process_waiting();
     }
+    if (!registered.state->endpoint && core::runtime_clock::now() < request.deadline) {
+        co_return limited_error();
+    }
     if (!registered.state->endpoint) {
         co_return error{errc::timeout, "no free slot before the deadline"};
     }
@@ -55,6 +71,34 @@
     co_return acquired;
 }
 
+core::task<std::optional<core::endpoint_id>> work_queue::start_now(dispatch_request request)
+{
+    for (int requested = 0; requested < backpressure::max_permit_requests; ++requested) {
+        const core::time_point now = core::runtime_clock::now();
+        const std::optional<core::endpoint_id> endpoint = slot_scheduler_.preferred(request, now);
+        if (!endpoint || slot_scheduler_.start_at(*endpoint, now)) {
+            co_return endpoint;
+        }
+        const core::time_point give_up_at =
+            std::min(now + backpressure::permit_wait, request.deadline);
+        slot_scheduler_.request_permit(*endpoint, now);
+        while (slot_scheduler_.awaits_permit(*endpoint, core::runtime_clock::now()) &&
+               core::runtime_clock::now() < give_up_at) {
+            co_await permit_change_.wait_until(give_up_at);
+        }
+        if (slot_scheduler_.start_at(*endpoint, core::runtime_clock::now())) {
+            co_return endpoint;
+        }
+    }
+    co_return slot_scheduler_.start(request, core::runtime_clock::now());
+}
+
+void work_queue::on_permit_change()
+{
+    permit_change_.notify();
+    process_waiting();
+}
+
 void work_queue::process_waiting()
 {
     const core::time_point now = core::runtime_clock::now();
--- a/src/dispatch/workqueue.h
+++ b/src/dispatch/workqueue.h
@@ -15,7 +15,7 @@
 class work_queue {
 public:
     work_queue(const core::asio::any_io_executor& executor, scheduler slot_scheduler)
-        : executor_(executor), slot_scheduler_(std::move(slot_scheduler))
+        : executor_(executor), slot_scheduler_(std::move(slot_scheduler)), permit_change_(executor)
     {
     }
     work_queue(const work_queue&) = delete;
@@ -50,14 +50,18 @@
     };
 
     /// Acquires a slot for the request, immediately or after waiting. Fails with errc::unavailable
-    /// if no endpoint can run it, errc::refused if too many requests are waiting, and errc::timeout
-    /// if the deadline passed.
+    /// if no endpoint can run it, errc::limited if all endpoints limit their requests and none
+    /// accepts it before the deadline, errc::refused if too many requests are waiting, and
+    /// errc::timeout if the deadline passed.
     core::task<core::result<slot>> acquire_slot(dispatch_request request);
 
     scheduler& slot_scheduler() { return slot_scheduler_; }
     const scheduler& slot_scheduler() const { return slot_scheduler_; }
     /// Starts the waiting requests that have a free slot and ends those whose deadline has passed.
     void process_waiting();
+    /// Continues the requests that wait for a permit. Called when a permit has been granted or
+    /// refused, and when one starts.
+    void on_permit_change();
 
 private:
     struct waiter {
@@ -74,8 +78,12 @@
         ~registration();
     };
 
+    /// Starts the request without queueing it, if necessary after waiting shortly for a permit.
+    core::task<std::optional<core::endpoint_id>> start_now(dispatch_request request);
+
     core::asio::any_io_executor executor_;
     scheduler slot_scheduler_;
+    core::notifier permit_change_;
     std::unordered_map<ticket, std::shared_ptr<waiter>> waiters_;
 };
 
--- a/src/gateway/entryroster.cpp
+++ b/src/gateway/entryroster.cpp
@@ -92,6 +92,15 @@
     return selected;
 }
 
+std::set<core::host_id> entry_roster::registered() const
+{
+    std::set<core::host_id> hosts;
+    for (const std::pair<const core::host_id, intents::host_spec>& entry : entries_) {
+        hosts.insert(entry.first);
+    }
+    return hosts;
+}
+
 const intents::host_spec* entry_roster::own_spec() const
 {
     const auto found = entries_.find(self_);
--- a/src/gateway/entryroster.h
+++ b/src/gateway/entryroster.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     /// caller's failure domain come first. Empty when no entry is ready.
     std::vector<std::string> addresses(const core::failure_domain_id& caller_failure_domain,
                                        bool self_ready, core::time_point now) const;
+    /// Registered entries, including this one and entries that are not running.
+    std::set<core::host_id> registered() const;
     /// Number of registered entries, including this one and entries that are not running.
     std::size_t registered_count() const { return entries_.size(); }
     /// Registration of this entry, or null when there is none.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -2,6 +2,7 @@
 
 #include "gateway/feedsinks.h"
 #include "gateway/gatewayconstants.h"
+#include "gateway/limitexchange.h"
 #include "gateway/metricshandler.h"
 #include "gateway/partreportexchange.h"
 #include "intents/hostregistration.h"
@@ -67,6 +68,7 @@
     entry_roster roster_;
     std::shared_ptr<membership::peer_hub> hub_;
     part_report_exchange part_reports_;
+    limit_exchange limits_;
     typename Site::store store_;
     configuration_sink<Site> configuration_sink_;
     endpoint_sink<Site> endpoint_sink_;
@@ -105,7 +107,8 @@
       hub_(std::make_shared<membership::peer_hub>(
           executor,
           membership::peer_hello{settings_.host, settings_.failure_domain, incarnation_})),
-      part_reports_(context_, *hub_), store_(executor, settings_.store_address),
+      part_reports_(context_, *hub_), limits_(settings_.host, context_, *hub_),
+      store_(executor, settings_.store_address),
       configuration_sink_(context_, [this] { context_.apply_endpoints(); }),
       endpoint_sink_(context_), host_sink_(roster_, [this] { on_hosts(); }),
       configuration_feed_(executor, store_, Site::configuration_key().kind, configuration_sink_,
@@ -125,10 +128,12 @@
     hub_->on_peer_up = [this](const membership::peer_hello& h) {
         core::log_event("peer_up").field("peer", h.host).field("incarnation", h.incarnation);
         part_reports_.on_peer_up(h.host);
+        limits_.on_peer_up(h.host);
     };
     hub_->on_peer_down = [this](const membership::peer_hello& h) {
         core::log_event("peer_down").field("peer", h.host).field("incarnation", h.incarnation);
         roster_.on_peer_down(h.host);
+        limits_.on_peer_down(h.host);
     };
     hub_->on_heartbeat = [](const membership::peer_hello&, const membership::peer_heartbeat&) {
     };
@@ -230,6 +235,7 @@
 {
     hub_->set_targets(roster_.dial_targets());
     context_.set_process_count(std::max<std::size_t>(roster_.registered_count(), 1));
+    limits_.set_registered(roster_.registered());
 }
 
 template <site_platform Site>
@@ -240,6 +246,9 @@
         part_reports_.on_report(peer, payload);
         return;
     }
+    if (limits_.on_message(peer, type, payload)) {
+        return;
+    }
     if (type != dispatch::load_report_type) {
         core::counter_for("peer_messages_unknown_total").add();
         return;
--- /dev/null
+++ b/src/gateway/tests/tst_limitexchange.cpp
@@ -0,0 +1,171 @@
+#include "core/eventlog.h"
+#include "core/timer.h"
+#include "gateway/limitexchange.h"
+#include "wire/packer.h"
+#include "wire/unpacker.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace currantpitch;
+using namespace std::chrono_literals;
+namespace asio = core::asio;
+
+namespace {
+
+const core::service_id desk("desk");
+const core::endpoint_id limited("i-limited");
+const core::endpoint_id other("i-other");
+
+// The part of an entry that shares limits with its peers.
+struct entry_process {
+    entry_process(asio::io_context& io, const std::string& name)
+        : context(io.get_executor(), core::failure_domain_id("fd"), proxy::proxy_bounds{}, 1),
+          hub(std::make_shared<membership::peer_hub>(
+              io.get_executor(),
+              membership::peer_hello{core::host_id(name), core::failure_domain_id("fd"),
+                                     core::incarnation{1}})),
+          exchange(core::host_id(name), context, *hub),
+          acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        hub->on_peer_up = [this](const membership::peer_hello& h) {
+            exchange.on_peer_up(h.host);
+        };
+        hub->on_peer_down = [this](const membership::peer_hello& h) {
+            exchange.on_peer_down(h.host);
+        };
+        hub->on_heartbeat = [](const membership::peer_hello&, const membership::peer_heartbeat&) {
+        };
+        hub->on_message = [this](const core::host_id& peer, std::uint8_t type,
+                                 const std::string& payload) {
+            CHECK(exchange.on_message(peer, type, payload));
+        };
+        exchange.set_registered({core::host_id("a"), core::host_id("b")});
+        for (const core::endpoint_id& endpoint : {limited, other}) {
+            directory::endpoint_record record;
+            record.endpoint = endpoint;
+            record.service = desk;
+            record.failure_domain = core::failure_domain_id("fd");
+            record.concurrency = 1000;
+            record.incarnation = core::incarnation{1};
+            context.endpoints.apply(record);
+        }
+        context.apply_endpoints();
+        core::spawn(io.get_executor(), accept());
+    }
+    core::task<void> accept()
+    {
+        asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::shared_ptr<wire::framed_connection> connection =
+            std::make_shared<wire::framed_connection>(std::move(socket));
+        const core::result<std::string> frame = co_await connection->receive();
+        const core::result<membership::peer_hello> hello =
+            wire::decode<membership::peer_hello>(frame.value());
+        co_await hub->serve(connection, hello.value());
+    }
+    /// Passes on an answer of the limited endpoint.
+    void answer(std::optional<double> limit)
+    {
+        context.on_endpoint_signal(
+            {limited, core::incarnation{1}, limit, core::runtime_clock::now()}, "id");
+    }
+    bool knows_limit() const { return context.signals.request_limit(limited).has_value(); }
+    /// Sends a request, which counts in sent if it goes to the limited endpoint.
+    core::task<void> send_request()
+    {
+        dispatch::dispatch_request request;
+        request.arrived = core::runtime_clock::now();
+        request.deadline = request.arrived + 100ms;
+        const core::result<dispatch::work_queue::slot> slot =
+            co_await context.service(desk).queue.acquire_slot(request);
+        sent += slot && slot.value().endpoint() == limited ? 1 : 0;
+    }
+
+    int sent = 0;
+    proxy::proxy_context context;
+    std::shared_ptr<membership::peer_hub> hub;
+    gateway::limit_exchange exchange;
+    asio::ip::tcp::acceptor acceptor;
+};
+
+} // namespace
+
+TEST_GROUP(limit_exchanges)
+{
+    asio::io_context io{1};
+    entry_process a{io, "a"};
+    entry_process b{io, "b"};
+
+    void setup() override
+    {
+        core::silence_log();
+    }
+    void connect()
+    {
+        a.hub->set_targets({{core::host_id("b"), b.acceptor.local_endpoint()}});
+        run_until([this] { return !a.hub->connected().empty() && !b.hub->connected().empty(); });
+    }
+    void run_until(const std::function<bool()>& reached)
+    {
+        for (int i = 0; i < 1000 && !reached(); ++i) {
+            run_for(5ms);
+        }
+        CHECK(reached());
+    }
+    void run_for(std::chrono::milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+};
+
+TEST(limit_exchanges, limit_is_known_at_a_connected_peer_until_it_ends)
+{
+    connect();
+    a.answer(2);
+    run_until([this] { return b.knows_limit(); });
+    run_for(5ms);
+    b.answer(std::nullopt);
+    CHECK(!b.knows_limit());
+    run_until([this] { return !a.knows_limit(); });
+}
+
+TEST(limit_exchanges, limit_is_told_to_a_peer_that_connects_later)
+{
+    a.answer(2);
+    connect();
+    run_until([this] { return b.knows_limit(); });
+}
+
+// Every entry sent a limited endpoint as many requests as the other endpoints.
+TEST(limit_exchanges, entries_send_a_limited_endpoint_more_than_its_limit_together)
+{
+    connect();
+    a.answer(10);
+    run_until([this] { return b.knows_limit(); });
+    const core::time_point began = core::runtime_clock::now();
+    while (core::runtime_clock::now() - began < 2s) {
+        core::spawn(io.get_executor(), a.send_request());
+        core::spawn(io.get_executor(), b.send_request());
+        run_for(5ms);
+    }
+    run_for(200ms);
+    CHECK(a.sent + b.sent <= 1.5 * 10 * 2 + 5);
+    CHECK(a.sent + b.sent >= 10);
+}
+
+TEST(limit_exchanges, malformed_messages_are_ignored)
+{
+    for (const std::uint8_t type :
+         {backpressure::limit_report_type, backpressure::permit_request_type,
+          backpressure::permit_offer_type}) {
+        CHECK(a.exchange.on_message(core::host_id("b"), type, "text"));
+    }
+    a.exchange.on_message(
+        core::host_id("b"), backpressure::limit_report_type,
+        wire::encode(backpressure::limit_report{
+            {{limited, core::incarnation{1}, std::numeric_limits<double>::quiet_NaN(), 0ms}}}));
+    CHECK(!a.knows_limit());
+    a.exchange.on_message(core::host_id("b"), backpressure::permit_request_type,
+                          wire::encode(backpressure::permit_request{
+                              limited, std::numeric_limits<double>::infinity()}));
+}
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -15,6 +15,7 @@
             part_guard(name, [this](const admission::part_report& r) { publish_part_report(r); }));
         state->retries.set_process_count(process_count);
         state->queue.slot_scheduler().set_process_count(process_count);
+        state->queue.slot_scheduler().set_signals(signals);
         apply_profile(name, *state);
     }
     return *state;
@@ -36,6 +37,7 @@
 void proxy_context::apply_endpoints()
 {
     std::map<core::service_id, std::vector<dispatch::available_endpoint>> by_service;
+    std::set<core::endpoint_id> registered;
     for (const std::pair<const core::service_id, std::unique_ptr<service_state>>& entry :
          services) {
         by_service[entry.first];
@@ -43,12 +45,14 @@
     for (const std::pair<const core::endpoint_id, directory::endpoint_record>& entry :
          endpoints.all()) {
         const directory::endpoint_record& record = entry.second;
+        registered.insert(record.endpoint);
         signals.on_registered(record.endpoint, record.incarnation);
         if (endpoints.usable(record.endpoint)) {
             by_service[record.service].push_back(
                 {record.endpoint, record.failure_domain, record.concurrency});
         }
     }
+    signals.retain(registered, core::runtime_clock::now());
     for (const std::pair<const core::service_id, std::vector<dispatch::available_endpoint>>& e :
          by_service) {
         service_state& state = service(e.first);
@@ -61,9 +65,12 @@
 void proxy_context::on_endpoint_signal(const backpressure::endpoint_signal& signal,
                                        const std::string& request_id)
 {
-    if (!signals.on_answer(signal, core::runtime_clock::now())) {
+    const core::time_point now = core::runtime_clock::now();
+    if (!signals.on_answer(signal, now)) {
         return;
     }
+    publish_limit({signal.endpoint, signal.incarnation, signal.request_limit,
+                   std::chrono::duration_cast<std::chrono::milliseconds>(now - signal.asked_at)});
     core::log_event("endpoint_limit")
         .field("endpoint", signal.endpoint)
         .field("incarnation", signal.incarnation)
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -78,6 +78,10 @@
     std::mt19937_64 random;
     core::time_point started_at;
     std::map<core::service_id, std::unique_ptr<service_state>> services;
+    /// Sends an endpoint's changed limit to all peers.
+    std::function<void(const backpressure::reported_limit&)> publish_limit =
+        [](const backpressure::reported_limit&) {
+        };
     /// Sends a report on parts of prompts to all peers.
     part_guard::publisher publish_part_report = [](const admission::part_report&) {
     };
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -28,6 +28,7 @@
     void log_abandoned() const { log_outcome("caller_left", {}); }
 
 private:
+    static std::string_view reason_without_slot(core::errc code);
     using slot_result = core::result<dispatch::work_queue::slot>;
 
     /// Returns the slot that was acquired during the last attempt, or acquires one.
@@ -47,6 +48,8 @@
     core::task<void> finish_or_deliver_failure(next_step step, attempt_outcome outcome);
     core::task<void> finish(next_step step, attempt_outcome outcome);
     core::task<void> refuse(unsigned status, std::string_view reason);
+    /// Time after which the caller of a request that is refused for this reason should return.
+    std::chrono::milliseconds retry_after(std::string_view reason);
     void log_attempt(const core::endpoint_id& endpoint, const attempt_outcome& outcome,
                      next_step step) const;
     void log_outcome(std::string_view outcome, std::string_view reason) const;
@@ -78,8 +81,7 @@
         }
         slot_result acquired = co_await take_slot();
         if (!acquired) {
-            co_await end_without_attempt(
-                acquired.error().code == core::errc::unavailable ? "no_endpoint" : "no_slot");
+            co_await end_without_attempt(reason_without_slot(acquired.error().code));
             co_return;
         }
         dispatch::work_queue::slot slot = std::move(acquired.value());
@@ -112,6 +114,19 @@
     }
 }
 
+template <proxy_dialect Dialect>
+std::string_view request_flow<Dialect>::reason_without_slot(core::errc code)
+{
+    switch (code) {
+    case core::errc::unavailable:
+        return "no_endpoint";
+    case core::errc::limited:
+        return endpoints_limited_reason;
+    default:
+        return "no_slot";
+    }
+}
+
 template <proxy_dialect Dialect>
 core::task<void> request_flow<Dialect>::end_without_attempt(std::string_view reason)
 {
@@ -235,14 +250,24 @@
     log_outcome(answer_.caller_lost() ? "caller_left" : "cut", outcome.reason);
 }
 
+template <proxy_dialect Dialect>
+std::chrono::milliseconds request_flow<Dialect>::retry_after(std::string_view reason)
+{
+    if (reason == part_suspected_reason) {
+        return service_.guard.retry_after(routed_.request.shared_parts);
+    }
+    if (reason == endpoints_limited_reason) {
+        return service_.queue.slot_scheduler().retry_after_limit(core::runtime_clock::now());
+    }
+    return service_.queue.slot_scheduler().retry_after();
+}
+
 template <proxy_dialect Dialect>
 core::task<void> request_flow<Dialect>::refuse(unsigned status, std::string_view reason)
 {
     refusal r{status, reason, std::nullopt};
     if (status == 503) {
-        r.retry_after = reason == part_suspected_reason
-                            ? service_.guard.retry_after(routed_.request.shared_parts)
-                            : service_.queue.slot_scheduler().retry_after();
+        r.retry_after = retry_after(reason);
     }
     http::response answer = Dialect::write_refusal(routed_.request, r);
     co_await answer_.reply(std::move(answer));
--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -49,6 +49,9 @@
         metadata.id = head.header_value("Id").value_or("");
         metadata.genuine = head.header_value("Genuine").has_value();
         metadata.not_run = head.header_value("Not-Run").has_value();
+        if (const std::optional<std::string> limit = head.header_value("Limit")) {
+            metadata.request_limit = std::stod(*limit);
+        }
         return metadata;
     }
     static http::response write_refusal(const proxy::caller_request&, const proxy::refusal& refused)
--- /dev/null
+++ b/src/proxy/tests/tst_limitedendpoints.cpp
@@ -0,0 +1,65 @@
+#include "flowsite.h"
+
+using namespace currantpitch;
+using namespace currantpitch::testing;
+
+TEST_GROUP_BASE(limited_endpoints, flow_site)
+{
+    const std::string limited_answer =
+        full_answer("7", "text", 200, "Genuine: 1\r\nLimit: 0.5\r\n");
+
+    void configure_both()
+    {
+        configure(routes::retry_policy::idempotent);
+        shared.signals.ask_for_permit = [this](const core::endpoint_id& e, double,
+                                               std::chrono::milliseconds) {
+            shared.signals.on_offer({e, false, 5000ms}, core::runtime_clock::now());
+        };
+    }
+};
+
+TEST(limited_endpoints, next_request_goes_to_another_endpoint)
+{
+    configure_both();
+    a.replies = {{limited_answer}, {limited_answer}};
+    b.replies = {{full_answer("7", "text")}};
+    send_request();
+    LONGS_EQUAL(1, a.received_requests.size());
+    answer.clear();
+    send_request();
+    LONGS_EQUAL(200, status());
+    LONGS_EQUAL(1, b.received_requests.size());
+}
+
+// Requests waited for endpoints that accepted none, until their time was over.
+TEST(limited_endpoints, request_without_any_permit_is_held)
+{
+    configure_both();
+    for (const char* const name : {"a", "b"}) {
+        shared.on_endpoint_signal({core::endpoint_id(name), {}, 0.5, core::runtime_clock::now()},
+                                  "7");
+    }
+    const core::time_point began = core::runtime_clock::now();
+    send_request();
+    LONGS_EQUAL(503, status());
+    CHECK(answer.ends_with("endpoints_limited"));
+    CHECK(core::runtime_clock::now() - began < 50ms);
+    LONGS_EQUAL(0, received_requests());
+}
+
+TEST(limited_endpoints, permit_of_a_stream_that_is_resumed_counts)
+{
+    configure(routes::retry_policy::resumable_stream);
+    int asked = 0;
+    shared.signals.ask_for_permit = [this, &asked](const core::endpoint_id& e, double,
+                                                   std::chrono::milliseconds) {
+        shared.signals.on_offer({e, ++asked == 1, 0ms}, core::runtime_clock::now());
+    };
+    shared.on_endpoint_signal({core::endpoint_id("b"), {}, 0.5, core::runtime_clock::now()}, "7");
+    a.replies = {{stream_head("7") + events(0, 2), reply::after_reply::reset}};
+    b.replies = {{head("7", "Genuine: 1\r\nLimit: 0.5\r\nTransfer-Encoding: chunked\r\n\r\n") +
+                  events(3, 4) + "0\r\n\r\n"}};
+    send_request();
+    CHECK(ends_with_last_chunk());
+    CHECK(!shared.signals.admits(core::endpoint_id("b"), core::runtime_clock::now()));
+}
