Let endpoints name limits in the soak of processes, and check them

The soak had no endpoint that limits its requests. endpoint_limited is drawn from a stream of its own, so that the faults of the seeds that have failed stay the same; limit_checker counts as the users' rule does.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -2,6 +2,7 @@
 
 #include "core/timer.h"
 
+#include <array>
 #include <csignal>
 
 namespace currantpitch::soak {
@@ -19,6 +20,8 @@
 constexpr std::chrono::milliseconds slow_store_delay{400};
 constexpr std::chrono::milliseconds late_order_delay{1200};
 constexpr unsigned slow_endpoint_factor = 8;
+/// Requests per second that endpoints say they accept.
+constexpr std::array<double, 4> request_limits{0.5, 1.0, 2.0, 5.0};
 constexpr const char* unsolicited_response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nspam";
 
 /// Reports a disturbance to the checker for the lifetime of the scope.
@@ -81,6 +84,9 @@
     else if (f.kind <= kind::store_turns_one_away) {
         co_await inject_store_fault(f);
     }
+    else if (f.kind == kind::endpoint_limited) {
+        co_await limit_endpoint(f);
+    }
     else {
         change_configuration(f);
     }
@@ -244,7 +250,24 @@
     faults.full = f.kind == fault_kind::endpoint_full;
     faults.slowness = f.kind == fault_kind::endpoint_slow ? slow_endpoint_factor : 1;
     co_await core::sleep_for(f.duration);
+    const std::optional<double> request_limit = faults.request_limit;
     faults = {};
+    faults.request_limit = request_limit;
+}
+
+core::task<void> fault_injector::limit_endpoint(planned_fault f)
+{
+    soak_site::endpoint& e = pick_endpoint(f.target);
+    const std::uint64_t incarnation = e.incarnation;
+    const core::endpoint_id endpoint = e.server->options().endpoint;
+    const double per_second = request_limits[f.target % request_limits.size()];
+    site_.checker().on_endpoint_limit(endpoint, per_second, core::runtime_clock::now());
+    e.server->faults.request_limit = per_second;
+    co_await core::sleep_for(f.duration);
+    site_.checker().on_endpoint_limit_end(endpoint);
+    if (e.incarnation == incarnation) {
+        e.server->faults.request_limit = std::nullopt;
+    }
 }
 
 core::task<void> fault_injector::drain_endpoint(soak_site::endpoint& e)
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -25,6 +25,7 @@
     core::task<void> inject_store_fault(planned_fault f);
     void change_configuration(planned_fault f);
     core::task<void> stop_gateway(std::size_t i);
+    core::task<void> limit_endpoint(planned_fault f);
     core::task<void> drain_endpoint(soak_site::endpoint& e);
     core::task<void> crash_endpoint(soak_site::endpoint& e, std::chrono::milliseconds duration);
     soak_site::endpoint& pick_endpoint(std::uint32_t target);
--- a/tests/soak/faultscript.cpp
+++ b/tests/soak/faultscript.cpp
@@ -11,10 +11,13 @@
 namespace {
 
 constexpr std::size_t fault_kind_count = static_cast<std::size_t>(fault_kind::last) + 1;
+constexpr std::size_t first_added_kind = static_cast<std::size_t>(fault_kind::first_added);
 /// Probability that a fault is repeated soon after, with the same target.
 constexpr double repeat_probability = 0.25;
 constexpr std::chrono::milliseconds min_duration{200};
 constexpr std::chrono::milliseconds max_duration{4000};
+/// The same for the added kinds, of which endpoints must have time to take notice.
+constexpr std::chrono::milliseconds max_added_duration{12000};
 
 constexpr std::array<std::string_view, fault_kind_count> fault_kind_names{"gateway_killed",
                                                                           "gateway_paused",
@@ -52,7 +55,8 @@
                                                                           "store_forgets",
                                                                           "store_turns_one_away",
                                                                           "configuration_changes",
-                                                                          "key_revoked"};
+                                                                          "key_revoked",
+                                                                          "endpoint_limited"};
 
 } // namespace
 
@@ -61,17 +65,27 @@
     return fault_kind_names[static_cast<std::size_t>(k)];
 }
 
-std::vector<planned_fault> make_fault_script(std::uint64_t seed, std::chrono::milliseconds length)
+namespace {
+
+/// The kinds of faults of a script, and how often and how long they occur.
+struct fault_class {
+    std::size_t first_kind = 0;
+    std::size_t kinds = 0;
+    std::chrono::milliseconds mean_interval{};
+    std::chrono::milliseconds max_duration{};
+};
+
+void add_faults(std::vector<planned_fault>& script, const fault_class& added, std::uint64_t seed,
+                std::chrono::milliseconds length)
 {
     std::mt19937_64 random(seed);
     std::exponential_distribution<double> pause(1.0 /
-                                                static_cast<double>(mean_fault_interval.count()));
-    std::uniform_int_distribution<std::size_t> kind(0, fault_kind_count - 1);
+                                                static_cast<double>(added.mean_interval.count()));
+    std::uniform_int_distribution<std::size_t> kind(0, added.kinds - 1);
     std::uniform_int_distribution<std::int64_t> duration(min_duration.count(),
-                                                         max_duration.count());
+                                                         added.max_duration.count());
     std::uniform_int_distribution<std::uint32_t> target(0, 1U << 20);
     std::bernoulli_distribution repeated(repeat_probability);
-    std::vector<planned_fault> script;
     std::chrono::milliseconds at{};
     while (true) {
         at += std::chrono::milliseconds(static_cast<std::int64_t>(pause(random)));
@@ -80,7 +94,7 @@
         }
         planned_fault f;
         f.at = at;
-        f.kind = static_cast<fault_kind>(kind(random));
+        f.kind = static_cast<fault_kind>(added.first_kind + kind(random));
         f.target = target(random);
         f.duration = std::chrono::milliseconds(duration(random));
         script.push_back(f);
@@ -89,6 +103,18 @@
             script.push_back(f);
         }
     }
+}
+
+} // namespace
+
+std::vector<planned_fault> make_fault_script(std::uint64_t seed, std::chrono::milliseconds length)
+{
+    std::vector<planned_fault> script;
+    add_faults(script, {0, first_added_kind, mean_fault_interval, max_duration}, seed, length);
+    add_faults(script,
+               {first_added_kind, fault_kind_count - first_added_kind, mean_added_fault_interval,
+                max_added_duration},
+               ~seed, length);
     // Faults end with the script at the latest.
     std::erase_if(script,
                   [length](const planned_fault& f) { return f.at + min_duration > length; });
--- a/tests/soak/faultscript.h
+++ b/tests/soak/faultscript.h
@@ -45,7 +45,10 @@
     store_turns_one_away,
     configuration_changes,
     key_revoked,
-    last = key_revoked,
+    // The following kinds are added to the faults of a seed, which stay the same.
+    first_added,
+    endpoint_limited = first_added,
+    last = endpoint_limited,
 };
 std::string_view to_string(fault_kind k);
 
--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -52,6 +52,7 @@
 void guarantee_checker::on_gateway_start(std::size_t gateway)
 {
     newest_used_.erase(gateway);
+    endpoint_limits_.on_gateway_start(gateway);
 }
 
 void guarantee_checker::on_disturbance_start(disturbance_target target, std::size_t index,
@@ -128,6 +129,12 @@
     }
     call_state& s = found->second;
     s.arrivals.push_back(a);
+    if (gateway_undisturbed(s.call.gateway, a.at, a.at)) {
+        const std::string exceeded = endpoint_limits_.on_arrival(s.call.gateway, a.endpoint, a.at);
+        if (!exceeded.empty()) {
+            add_finding("limit", a.request, a.endpoint.str() + " " + exceeded);
+        }
+    }
     if (a.runs) {
         check_run(s, a);
     }
@@ -222,6 +229,10 @@
                     "after_ms=" + std::to_string(core::to_milliseconds(result.at - s.call.at)));
     }
     if (result.outcome == call_result::outcome_kind::answered) {
+        if (result.signature && !s.arrivals.empty()) {
+            const arrival& last = s.arrivals.back();
+            endpoint_limits_.on_answer(s.call.gateway, last.endpoint, last.at, result.at);
+        }
         check_answer(s, result);
     }
     else {
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/runtimeclock.h"
+#include "soak/limitchecker.h"
 #include "soak/soakconstants.h"
 #include "standins/standincaller.h"
 #include "standins/standinendpoint.h"
@@ -57,6 +58,12 @@
 
     void on_configuration(const declared_configuration& c, core::time_point acknowledged);
     void on_endpoint_leaving(const core::endpoint_id& e, core::time_point acknowledged);
+    /// Reports that an endpoint names a limit of requests per second, or none any more.
+    void on_endpoint_limit(const core::endpoint_id& e, double per_second, core::time_point at)
+    {
+        endpoint_limits_.on_limit(e, per_second, at);
+    }
+    void on_endpoint_limit_end(const core::endpoint_id& e) { endpoint_limits_.on_limit_end(e); }
     /// Reports that a part of a prompt crashed an endpoint.
     void on_part_crash(core::time_point at) { part_crashes_.push_back(at); }
     /// Reports that a gateway process was started or restarted.
@@ -131,6 +138,7 @@
     void check_crashing_request(const call_state& s, const arrival& a);
 
     guarantee_limits limits_;
+    limit_checker endpoint_limits_;
     std::vector<configuration> configurations_;
     std::map<core::endpoint_id, core::time_point> leaving_;
     std::vector<disturbance> disturbances_;
--- a/tests/soak/tst_guaranteechecker.cpp
+++ b/tests/soak/tst_guaranteechecker.cpp
@@ -349,3 +349,51 @@
     CHECK(!checker.was_disturbed(1, t0, t0 + 8s));
     CHECK(!checker.was_disturbed(0, t0, t0 + 5s));
 }
+
+TEST_GROUP(limit_checkers)
+{
+    limit_checker checker;
+    const core::endpoint_id e{"e-1"};
+    core::time_point t0{1h};
+
+    void setup() override
+    {
+        checker.on_limit(e, 1, t0);
+    }
+    // Sends as many requests as the limit tolerates in a window, and one more.
+    std::string exceed(std::size_t gateway, core::duration after)
+    {
+        std::string finding;
+        for (int i = 0; i < 12; ++i) {
+            finding += checker.on_arrival(gateway, e, t0 + after + i * 10ms);
+        }
+        return finding;
+    }
+};
+
+TEST(limit_checkers, requests_above_the_limit_are_found_once)
+{
+    checker.on_answer(0, e, t0, t0 + 1s);
+    CHECK(exceed(0, 1s).empty());
+    CHECK(!exceed(0, 5s).empty());
+    CHECK(exceed(0, 10s).empty());
+}
+
+TEST(limit_checkers, gateways_that_were_not_told_do_not_count)
+{
+    checker.on_answer(0, e, t0 - 1ms, t0 + 1s);
+    CHECK(exceed(0, 5s).empty());
+    checker.on_answer(0, e, t0, t0 + 6s);
+    checker.on_gateway_start(0);
+    CHECK(exceed(0, 10s).empty());
+}
+
+TEST(limit_checkers, limit_is_kept_until_it_ends)
+{
+    checker.on_answer(0, e, t0, t0 + 1s);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(checker.on_arrival(0, e, t0 + 4s + i * 400ms).empty());
+    }
+    checker.on_limit_end(e);
+    CHECK(exceed(0, 20s).empty());
+}
