--- a/src/core/identifiers.h
+++ b/src/core/identifiers.h
@@ -65,6 +65,8 @@
 using map_version = number<struct map_version_tag>;
 /// Index of a step that the ranks of a model group execute in lockstep.
 using step_number = number<struct step_tag>;
+/// Number of times that the platform's store has been restored from an older copy of its objects.
+using store_era = number<struct store_era_tag>;
 /// Version of an object in the platform's store; increases monotonically across the whole store.
 using revision = number<struct revision_tag>;
 
