Order revisions across restores of the store

Cause: their watch went on from a revision that the restored store had given out again, so that it got no 410 and missed what differed before it. Revisions were compared as if they only rose; for the same reason hints between feeds and cheap listings counted for nothing until the store had passed the old numbers.

Change: a revision has the era of the store that gave it out and is ordered by era first. A watch ends as stale when an answer shows another era than its revision, and a listing when its pages do.

--- a/src/core/identifiers.h
+++ b/src/core/identifiers.h
@@ -67,8 +67,24 @@
 using step_number = number<struct step_tag>;
 /// Number of times that the platform's store has been restored from an older copy of its objects.
 using store_era = number<struct store_era_tag>;
-/// Version of an object in the platform's store; increases monotonically across the whole store.
-using revision = number<struct revision_tag>;
+/// Version of an object in the platform's store. Increases monotonically across the whole store
+/// within an era; the store gives out the same numbers again after it was restored.
+struct revision {
+    std::uint64_t value = 0;
+    store_era era{};
+
+    friend bool operator==(const revision&, const revision&) = default;
+    friend std::strong_ordering operator<=>(const revision& a, const revision& b)
+    {
+        const std::strong_ordering by_era = a.era <=> b.era;
+        return by_era != 0 ? by_era : a.value <=> b.value;
+    }
+    friend std::ostream& operator<<(std::ostream& out, const revision& r)
+    {
+        return r.era.value == 0 ? out << r.value : out << r.era << ':' << r.value;
+    }
+    revision next() const { return revision{value + 1, era}; }
+};
 
 } // namespace currantpitch::core
 
--- a/src/objectstore/tests/tst_kindpoll.cpp
+++ b/src/objectstore/tests/tst_kindpoll.cpp
@@ -108,3 +108,17 @@
     CHECK(!sink.listed_revisions.empty());
     LONGS_EQUAL(1, sink.recoveries);
 }
+
+// Listings after a restore were dropped until the store had given out the old revisions again.
+TEST(kind_polls, listing_of_a_restored_store_is_taken_for_an_old_one)
+{
+    objectstore::listing restored{core::revision{2, core::store_era{1}}, {}};
+    store.answers = {at(5), restored, at(9), restored};
+    run.spawn(poll.run());
+    run.advance(4s);
+    CHECK(sink.listed_revisions.size() >= 3);
+    LONGS_EQUAL(5, sink.listed_revisions[0]);
+    LONGS_EQUAL(2, sink.listed_revisions[1]);
+    // The listing with revision 9 is from before the restore.
+    LONGS_EQUAL(2, sink.listed_revisions[2]);
+}
--- a/src/wire/packer.h
+++ b/src/wire/packer.h
@@ -50,6 +50,12 @@
     {
         put_unsigned(n.value);
     }
+    void put(const core::revision& r)
+    {
+        put_array(2);
+        put_unsigned(r.value);
+        put(r.era);
+    }
     template <class Rep, class Period>
     void put(const std::chrono::duration<Rep, Period>& d)
     {
--- a/src/wire/unpacker.h
+++ b/src/wire/unpacker.h
@@ -77,6 +77,14 @@
     {
         get_unsigned(n.value);
     }
+    void get(core::revision& r)
+    {
+        if (get_array() != 2) {
+            good_ = false;
+        }
+        get_unsigned(r.value);
+        get(r.era);
+    }
     template <class Rep, class Period>
     void get(std::chrono::duration<Rep, Period>& d)
     {
--- a/tests/fakes/memorystore.cpp
+++ b/tests/fakes/memorystore.cpp
@@ -26,6 +26,9 @@
         core::runtime_clock::now() + objectstore::bookmark_interval;
     while (core::runtime_clock::now() < deadline) {
         const bool silent = store_->faults.watches_silent;
+        if (store_->last().era != last_seen_.era) {
+            co_return error{errc::stale, "the store was restored from an older copy"};
+        }
         if (store_->faults.unavailable) {
             co_return error{errc::closed, "the store is away"};
         }
@@ -45,6 +48,19 @@
     co_return error{errc::timeout, "the watch is silent"};
 }
 
+void memory_store::restore(core::revision copy)
+{
+    const core::store_era era = last_.era.next();
+    objects_.clear();
+    std::erase_if(history_, [copy](const object& o) { return o.version.value > copy.value; });
+    for (object& o : history_) {
+        o.version.era = era;
+        objects_[o.key] = o;
+    }
+    last_ = core::revision{copy.value, era};
+    changed_.notify();
+}
+
 core::task<core::result<void>> memory_store::begin_call(call_context call)
 {
     ++calls[std::string(call.cause)];
@@ -69,7 +85,8 @@
     if (deleted && !present) {
         return error{errc::not_found, "no such object"};
     }
-    if (current != expected) {
+    // A conditional write names the number alone.
+    if (current.value != expected.value) {
         return error{errc::conflict, "the object has another version"};
     }
     last_ = last_.next();
