Let fences of different eras of the store differ

A fence that a leader held could be lost by a restore of the store and then be claimed by another agent that had not heard of it: two leaders with one term, whose orders both pass the fences.

Fences of an era start above those of all earlier ones, and a write that turns out to have crossed a restore is repeated with a fence of the new era. fence_that_a_restore_has_lost_is_claimed_again fails before: the fence 2 was claimed twice.

--- a/src/expertmaps/fenceclaim.h
+++ b/src/expertmaps/fenceclaim.h
@@ -13,6 +13,9 @@
 
 /// Kind of the objects that store the highest fence of each group.
 inline constexpr std::string_view fence_kind = "MapFence";
+/// Number of fences in one era of the store. A fence that a restore has lost belongs to an earlier
+/// era than any that is claimed afterwards, so that it is not claimed twice.
+inline constexpr std::uint64_t fences_per_era = std::uint64_t{1} << 20;
 
 namespace internal {
 
@@ -24,6 +27,11 @@
     return f;
 }
 
+inline core::fence first_fence(core::store_era era)
+{
+    return core::fence{era.value * fences_per_era + 1};
+}
+
 } // namespace internal
 
 /// Returns the highest fence that has been claimed for the group, or zero when there is none.
@@ -43,9 +51,10 @@
     co_return internal::parse_fence(stored.value().body);
 }
 
-/// Claims the next fence of the group, which is above the given one, by one conditional write.
-/// Returns errc::conflict when another agent claimed it concurrently. When the response to the
-/// write was lost, the nonce in the object shows whether the write succeeded.
+/// Claims the next fence of the group, which is above the given one and the fences of earlier eras
+/// of the store, by a conditional write. Returns errc::conflict when another agent claimed it
+/// concurrently. When the response to the write was lost, the nonce in the object shows whether the
+/// write succeeded.
 template <objectstore::store_client Store>
 core::task<core::result<core::fence>> claim_fence(Store& store, std::string group,
                                                   std::uint64_t nonce, core::fence above = {})
@@ -57,27 +66,36 @@
     if (!stored && stored.error().code != core::errc::not_found) {
         co_return stored.error();
     }
-    const core::revision version = stored ? stored.value().version : core::revision{};
+    core::revision version = stored ? stored.value().version : core::revision{};
     const core::fence claimed = stored ? internal::parse_fence(stored.value().body) : core::fence{};
-    const core::fence next_fence = std::max(claimed, above).next();
-    const std::string body = std::to_string(next_fence.value) + " " + std::to_string(nonce);
-    const objectstore::call_context write_call{"map_fence", core::runtime_clock::now() +
-                                                                objectstore::call_timeout};
-    const core::result<objectstore::object> written =
-        co_await store.put(key, body, version, write_call);
-    if (written) {
-        co_return next_fence;
-    }
-    if (!objectstore::effect_unknown(written.error())) {
-        co_return written.error();
-    }
-    const objectstore::call_context reread_call{"map_fence", core::runtime_clock::now() +
-                                                                 objectstore::call_timeout};
-    const core::result<objectstore::object> reread = co_await store.get(key, reread_call);
-    if (reread && reread.value().body == body) {
-        co_return next_fence;
+    core::fence next_fence = std::max(claimed, above).next();
+    while (true) {
+        next_fence = std::max(next_fence, internal::first_fence(version.era));
+        const std::string body = std::to_string(next_fence.value) + " " + std::to_string(nonce);
+        const objectstore::call_context write_call{"map_fence", core::runtime_clock::now() +
+                                                                    objectstore::call_timeout};
+        core::result<objectstore::object> written =
+            co_await store.put(key, body, version, write_call);
+        if (!written && objectstore::effect_unknown(written.error())) {
+            const objectstore::call_context reread_call{"map_fence", core::runtime_clock::now() +
+                                                                         objectstore::call_timeout};
+            const core::result<objectstore::object> reread = co_await store.get(key, reread_call);
+            if (reread && reread.value().body == body) {
+                written = reread;
+            }
+        }
+        if (!written) {
+            co_return written.error();
+        }
+        if (written.value().version.era == version.era) {
+            co_return next_fence;
+        }
+        // A write that creates the object, or that crosses a restore, is the first to show the era.
+        version = written.value().version;
+        if (next_fence >= internal::first_fence(version.era)) {
+            co_return next_fence;
+        }
     }
-    co_return written.error();
 }
 
 } // namespace currantpitch::expertmaps
--- a/src/expertmaps/tests/tst_fenceclaim.cpp
+++ b/src/expertmaps/tests/tst_fenceclaim.cpp
@@ -53,3 +53,23 @@
     run.advance(5s);
     CHECK(a->error().code == core::errc::unavailable);
 }
+
+// A leader kept its fence across a restore that had lost it, and another agent claimed the same
+// one.
+TEST(fences, fence_that_a_restore_has_lost_is_claimed_again)
+{
+    claim(1);
+    run.advance(1s);
+    const core::revision copy = store.last();
+    const std::shared_ptr<core::result<core::fence>> lost = claim(2);
+    run.advance(1s);
+    CHECK(lost->value() == core::fence{2});
+    store.restore(copy);
+    const std::shared_ptr<core::result<core::fence>> next = claim(3);
+    run.advance(1s);
+    CHECK(next->value() > lost->value());
+    store.restore(core::revision{});
+    const std::shared_ptr<core::result<core::fence>> created = claim(4);
+    run.advance(1s);
+    CHECK(created->value() > next->value());
+}
