Keep endpoints that left out of use when a restored store shows them again

An older copy of the store shows an endpoint as ready that has drained or left since; requests would reach it later than allowed (DRAIN), and one that registered after the copy would be dropped until it is back.

The directory remembers by incarnation what drained and what was removed: the former never becomes ready again, the latter is used again only once it must have renewed its registration. Registrations that a restore has lost have the same time to come back as after an outage.

--- a/src/directory/endpointdirectory.cpp
+++ b/src/directory/endpointdirectory.cpp
@@ -19,10 +19,26 @@
     }
 }
 
-bool endpoint_directory::registrations_lapsed() const
+void endpoint_directory::on_store_restored(core::time_point now)
 {
-    return static_cast<double>(removed_since_recovery_.size()) >=
-           min_lapsed_share * static_cast<double>(known_at_recovery_);
+    on_store_recovered(now);
+    store_restored_at_ = now;
+}
+
+bool endpoint_directory::readmit(core::time_point now)
+{
+    if (unconfirmed_.empty() || now - *store_restored_at_ < stale_registration_lifetime) {
+        return false;
+    }
+    unconfirmed_.clear();
+    return true;
+}
+
+bool endpoint_directory::registrations_lapsed(core::time_point now) const
+{
+    const bool restored = store_restored_at_ && now - *store_restored_at_ < reregistration_period;
+    return restored || static_cast<double>(removed_since_recovery_.size()) >=
+                           min_lapsed_share * static_cast<double>(known_at_recovery_);
 }
 
 void endpoint_directory::on_listing(const std::vector<endpoint_record>& listing,
@@ -48,7 +64,32 @@
 {
     missing_.erase(record.endpoint);
     removed_since_recovery_.erase(record.endpoint);
-    records_[record.endpoint] = record;
+    endpoint_record& known = records_[record.endpoint];
+    const bool known_incarnation = record.incarnation.value != 0;
+    const bool was_draining = known.draining && known.incarnation == record.incarnation;
+    known = record;
+    known.draining = record.draining || (known_incarnation && was_draining);
+    const auto departed = departures_.find(record.endpoint);
+    if (departed == departures_.end()) {
+        return;
+    }
+    if (known_incarnation && departed->second.incarnation == record.incarnation) {
+        known.draining = known.draining || departed->second.draining;
+        if (!known.draining && store_restored_at_ && departed->second.at < *store_restored_at_) {
+            unconfirmed_.insert(record.endpoint);
+        }
+    }
+    departures_.erase(departed);
+}
+
+void endpoint_directory::remove(const core::endpoint_id& endpoint, core::time_point now)
+{
+    const endpoint_record* const known = find(endpoint);
+    if (known != nullptr) {
+        departures_[endpoint] = {known->incarnation, known->draining, now};
+    }
+    records_.erase(endpoint);
+    unconfirmed_.erase(endpoint);
 }
 
 void endpoint_directory::on_removal(const core::endpoint_id& endpoint, core::time_point now)
@@ -61,19 +102,22 @@
         return;
     }
     missing_.erase(endpoint);
-    records_.erase(endpoint);
+    remove(endpoint, now);
 }
 
 std::vector<core::endpoint_id> endpoint_directory::expire(core::time_point now)
 {
     std::vector<core::endpoint_id> dropped;
-    const bool lapsed = registrations_lapsed();
+    std::erase_if(departures_, [now](const std::pair<const core::endpoint_id, departure>& entry) {
+        return now - entry.second.at > departure_memory;
+    });
+    const bool lapsed = registrations_lapsed(now);
     for (auto it = missing_.begin(); it != missing_.end();) {
         if (lapsed && now < it->second) {
             ++it;
             continue;
         }
-        records_.erase(it->first);
+        remove(it->first, now);
         dropped.push_back(it->first);
         it = missing_.erase(it);
     }
@@ -89,7 +133,8 @@
 bool endpoint_directory::usable(const core::endpoint_id& endpoint) const
 {
     const endpoint_record* const record = find(endpoint);
-    return record != nullptr && !record->draining && !superseded(*record);
+    return record != nullptr && !record->draining && !unconfirmed_.contains(endpoint) &&
+           !superseded(*record);
 }
 
 bool endpoint_directory::superseded(const endpoint_record& record) const
--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -33,6 +33,10 @@
 
 /// Time after the recovery of the store within which running endpoints register again.
 inline constexpr std::chrono::milliseconds reregistration_period{2000};
+/// Time after a restore of the store within which a registration that is not renewed lapses.
+inline constexpr std::chrono::milliseconds stale_registration_lifetime{5000};
+/// Time for which a removed endpoint is remembered.
+inline constexpr std::chrono::minutes departure_memory{10};
 /// Share of the known endpoints that must be missing after an outage to conclude that their
 /// registrations lapsed during it. Fewer have left.
 inline constexpr double min_lapsed_share = 0.5;
@@ -41,6 +45,10 @@
 /// is unavailable. Running endpoints register again after the store recovers: if so many are
 /// missing then that their registrations must have lapsed, they are dropped only when
 /// reregistration_period has passed.
+///
+/// A store that was restored from an older copy shows earlier states of the endpoints. An endpoint
+/// that drains never becomes ready again as the same incarnation. One that had been removed is not
+/// used until it must have renewed its registration.
 class endpoint_directory {
 public:
     /// Applies a complete listing: endpoints that it lacks are treated as removed.
@@ -52,6 +60,12 @@
     void on_removal(const core::endpoint_id& endpoint, core::time_point now);
     /// Starts the re-registration period when the store is available again after an outage.
     void on_store_recovered(core::time_point now);
+    /// Takes note that the store was restored from an older copy. Its next listing is the first one
+    /// from that copy.
+    void on_store_restored(core::time_point now);
+    /// Lets removed endpoints that a restored store has shown again be used once they must have
+    /// renewed their registration. Returns whether there are any.
+    bool readmit(core::time_point now);
     /// Drops the missing endpoints that have left or have not registered again by the end of the
     /// period in which they were missed, even if another one has begun meanwhile. Returns their
     /// names.
@@ -67,16 +81,28 @@
     std::size_t missing_count() const { return missing_.size(); }
 
 private:
+    /// Last state of a removed endpoint.
+    struct departure {
+        core::incarnation incarnation;
+        bool draining = false;
+        core::time_point at;
+    };
+
     bool in_reregistration_period(core::time_point now) const;
-    /// Whether most registrations lapsed during the latest outage. If not, only this process may
-    /// have been cut off from the store.
-    bool registrations_lapsed() const;
+    /// Whether most registrations lapsed during the latest outage, or a restore lost some. If not,
+    /// only this process may have been cut off from the store.
+    bool registrations_lapsed(core::time_point now) const;
+    void remove(const core::endpoint_id& endpoint, core::time_point now);
     bool superseded(const endpoint_record& record) const;
 
     std::map<core::endpoint_id, endpoint_record> records_;
     /// Endpoints that were removed after the recovery of the store, with the times at which they
     /// are dropped.
     std::map<core::endpoint_id, core::time_point> missing_;
+    std::map<core::endpoint_id, departure> departures_;
+    /// Removed endpoints that a restored store has shown again.
+    std::set<core::endpoint_id> unconfirmed_;
+    std::optional<core::time_point> store_restored_at_;
     std::optional<core::time_point> store_recovered_at_;
     /// Number of endpoints when the store recovered, and those that were removed since then.
     std::size_t known_at_recovery_ = 0;
--- a/src/directory/tests/tst_directory.cpp
+++ b/src/directory/tests/tst_directory.cpp
@@ -126,3 +126,74 @@
     CHECK(known.usable(b));
     LONGS_EQUAL(2, known.expire(now + 2000ms).size());
 }
+
+TEST_GROUP(restored_directories)
+{
+    directory::endpoint_directory known;
+    core::time_point now{1h};
+
+    directory::endpoint_record started(const std::string& name, bool draining = false,
+                                       std::uint64_t incarnation = 1)
+    {
+        directory::endpoint_record r = record(name, draining);
+        r.incarnation = core::incarnation{incarnation};
+        return r;
+    }
+};
+
+TEST(restored_directories, draining_endpoint_becomes_ready_by_an_older_copy)
+{
+    known.on_listing({started("a"), started("b")}, now);
+    known.apply(started("a", true));
+    known.on_store_restored(now);
+    known.on_listing({started("a"), started("b")}, now);
+    CHECK(!known.usable(a));
+    CHECK(known.usable(b));
+    known.apply(started("a", false, 2));
+    CHECK(known.usable(a));
+}
+
+TEST(restored_directories, endpoint_that_drained_and_left_comes_back_by_an_older_copy)
+{
+    known.on_listing({started("a", true), started("b")}, now);
+    known.on_removal(a, now);
+    known.on_store_restored(now + 1s);
+    known.on_listing({started("a"), started("b")}, now + 1s);
+    CHECK(!known.usable(a));
+    CHECK(!known.readmit(now + 1s + directory::stale_registration_lifetime));
+    CHECK(!known.usable(a));
+}
+
+TEST(restored_directories, endpoint_that_was_removed_comes_back_by_an_older_copy)
+{
+    known.on_listing({started("a"), started("b")}, now);
+    known.on_removal(a, now);
+    CHECK(!known.usable(a));
+    now += 1s;
+    known.on_store_restored(now);
+    known.on_listing({started("a"), started("b")}, now);
+    CHECK(!known.usable(a));
+    CHECK(!known.readmit(now + directory::stale_registration_lifetime - 1ms));
+    CHECK(known.readmit(now + directory::stale_registration_lifetime));
+    CHECK(known.usable(a));
+}
+
+TEST(restored_directories, endpoint_that_registers_again_without_a_restore_is_used_at_once)
+{
+    known.on_listing({started("a"), started("b")}, now);
+    known.on_removal(a, now);
+    known.apply(started("a"));
+    CHECK(known.usable(a));
+}
+
+// One of many endpoints had registered after the copy, and was dropped until it came back.
+TEST(restored_directories, registration_that_a_restore_lost_is_dropped)
+{
+    known.on_listing({started("a"), started("b"), started("c"), started("d")}, now);
+    known.on_store_restored(now);
+    known.on_listing({started("b"), started("c"), started("d")}, now);
+    CHECK(known.usable(a));
+    CHECK(known.expire(now + directory::reregistration_period - 1ms).empty());
+    LONGS_EQUAL(1, known.expire(now + directory::reregistration_period).size());
+    CHECK(!known.usable(a));
+}
--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -73,7 +73,12 @@
                 records.push_back(r.value());
             }
         }
-        context_.endpoints.on_listing(records, core::runtime_clock::now());
+        const core::time_point now = core::runtime_clock::now();
+        if (listed_ && listing.at.era > era_) {
+            context_.endpoints.on_store_restored(now);
+        }
+        era_ = listing.at.era;
+        context_.endpoints.on_listing(records, now);
         listed_ = true;
         context_.apply_endpoints();
         core::log_event("endpoints_listed")
@@ -133,6 +138,8 @@
 
     proxy::proxy_context& context_;
     bool listed_ = false;
+    /// Era of the latest listing.
+    core::store_era era_{};
 };
 
 /// Updates the roster of registered entries from the store.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -315,7 +315,7 @@
         for (const core::endpoint_id& endpoint : expired) {
             core::log_event("endpoint_not_back").field("endpoint", endpoint);
         }
-        if (!expired.empty()) {
+        if (context_.endpoints.readmit(now) || !expired.empty()) {
             context_.apply_endpoints();
         }
         context_.connections.expire(now);
