Register the group of an agent again when the store has lost it

After a restore of the store an agent whose registration was lost took its own memory for the store's, so that other agents no longer knew its group. A listing that is newer than the registration and lacks it now makes the agent register again. Found by reading; no play showed it.

--- a/src/rankcontrol/memberregistry.h
+++ b/src/rankcontrol/memberregistry.h
@@ -72,7 +72,9 @@
 void member_registry<Store>::on_listing(const objectstore::listing& listing)
 {
     std::map<boost::asio::ip::address, core::group_id> groups;
+    bool own_found = false;
     for (const objectstore::object& o : listing.objects) {
+        own_found = own_found || o.key.name == context_.settings.host.str();
         const core::result<member_registration> r = decode_registration(o.body);
         if (!r) {
             core::log_event("member_registration_unreadable", core::log_event::level::warning)
@@ -89,6 +91,11 @@
             groups[r.value().address] = r.value().group.group;
         }
     }
+    if (!own_found && listing.at > revision_) {
+        // A restored store has lost it.
+        registered_.reset();
+        revision_ = core::revision{};
+    }
     listed_ = true;
     on_change_(std::move(groups));
 }
