Keep entries whose registration a restore of the store has lost

Entries that had registered after the copy were dropped from the rosters of the others, which closed their connections, until they had found out after up to 16 s and registered again. They are kept for 15 s now, and an entry registers again as soon as it sees another era.

--- a/src/gateway/entryroster.cpp
+++ b/src/gateway/entryroster.cpp
@@ -25,12 +25,28 @@
 
 } // namespace
 
-void entry_roster::on_listing(const std::vector<objectstore::object>& hosts)
+void entry_roster::on_listing(const std::vector<objectstore::object>& hosts, core::store_era era,
+                              core::time_point now)
 {
-    entries_.clear();
+    const std::map<core::host_id, intents::host_spec> before =
+        std::exchange(entries_, std::map<core::host_id, intents::host_spec>());
     for (const objectstore::object& o : hosts) {
         on_change(o);
     }
+    for (const std::pair<const core::host_id, intents::host_spec>& entry : before) {
+        const bool lost = era > era_ && entry.first != self_ && !entries_.contains(entry.first);
+        if (lost) {
+            kept_until_.try_emplace(entry.first, now + host_reregistration_period);
+        }
+    }
+    era_ = std::max(era_, era);
+    std::erase_if(kept_until_,
+                  [this, now](const std::pair<const core::host_id, core::time_point>& kept) {
+                      return entries_.contains(kept.first) || now >= kept.second;
+                  });
+    for (const std::pair<const core::host_id, core::time_point>& kept : kept_until_) {
+        entries_.insert(*before.find(kept.first));
+    }
 }
 
 void entry_roster::on_change(const objectstore::object& host)
--- a/src/gateway/entryroster.h
+++ b/src/gateway/entryroster.h
@@ -20,8 +20,13 @@
 public:
     explicit entry_roster(core::host_id self) : self_(std::move(self)) {}
 
-    /// Replaces all entries by those of a complete listing.
-    void on_listing(const std::vector<objectstore::object>& hosts);
+    /// Replaces all entries by those of a complete listing. After a restore of the store, which
+    /// begins a new era, other entries that the listing lacks are kept for the
+    /// host_reregistration_period.
+    void on_listing(const std::vector<objectstore::object>& hosts, core::store_era era = {},
+                    core::time_point now = {});
+    /// Era of the latest listing.
+    core::store_era era() const { return era_; }
     /// Applies a change or deletion of one host.
     void on_change(const objectstore::object& host);
     /// Records the readiness that a peer reported.
@@ -52,6 +57,9 @@
     core::host_id self_;
     std::map<core::host_id, intents::host_spec> entries_;
     std::map<core::host_id, peer_report> reports_;
+    core::store_era era_{};
+    /// Entries that a restored store lacks, and the time until which they are kept.
+    std::map<core::host_id, core::time_point> kept_until_;
 };
 
 } // namespace currantpitch::gateway
--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -152,7 +152,7 @@
 
     void on_listing(const objectstore::listing& listing)
     {
-        roster_.on_listing(listing.objects);
+        roster_.on_listing(listing.objects, listing.at.era, core::runtime_clock::now());
         on_change_();
     }
     void on_change(const objectstore::object& o)
--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -26,6 +26,9 @@
 /// Time after which this entry's registration must appear in a listing. Otherwise it is written
 /// again. Listings can be a few seconds old.
 inline constexpr std::chrono::seconds registration_listing_delay{10};
+/// Time after a restore of the store within which entries whose registrations were lost register
+/// again.
+inline constexpr std::chrono::seconds host_reregistration_period{15};
 /// Interval at which an entry checks whether its registration exists.
 inline constexpr std::chrono::seconds registration_check_interval{2};
 /// Lifetime of an address answer. Some callers keep an answer for three lifetimes, so a short
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -377,14 +377,19 @@
 template <site_platform Site>
 core::task<void> gateway_node<Site>::registration_loop()
 {
+    // Listings of the same era can be older than the registration.
+    core::time_point next_registration_at{};
+    core::store_era registered_era{};
     while (!context_.stopping) {
         const intents::host_spec* const own = roster_.own_spec();
-        if (own == nullptr || own->incarnation != incarnation_) {
+        const core::time_point now = core::runtime_clock::now();
+        const bool registered = own != nullptr && own->incarnation == incarnation_;
+        if (!registered && (now >= next_registration_at || roster_.era() > registered_era)) {
+            registered_era = roster_.era();
             const core::result<void> registration =
                 co_await register_self(intents::host_state::live);
             if (registration) {
-                // Listings can be older than the registration.
-                co_await core::sleep_for(registration_listing_delay);
+                next_registration_at = now + registration_listing_delay;
             }
             else {
                 core::log_event("host_registration_failed", core::log_event::level::warning)
--- a/src/gateway/tests/tst_entryroster.cpp
+++ b/src/gateway/tests/tst_entryroster.cpp
@@ -82,3 +82,20 @@
     CHECK(roster.dial_targets().empty());
     LONGS_EQUAL(2, roster.registered_count());
 }
+
+// Entries that had registered after the copy were neither listed nor connected for seconds.
+TEST(entry_rosters, entry_that_a_restore_has_lost_is_dropped)
+{
+    roster.on_report(core::host_id("c"), true, now);
+    const core::store_era restored{1};
+    roster.on_listing({host("a", "fd-a", 100)}, restored, now);
+    CHECK(roster.dial_targets().contains(core::host_id("c")));
+    LONGS_EQUAL(1, roster.addresses(caller_failure_domain, false, now).size());
+    // This entry registers again.
+    CHECK(roster.own_spec() == nullptr);
+    roster.on_listing({host("a", "fd-a", 100)}, restored, now + 5s);
+    CHECK(roster.dial_targets().contains(core::host_id("c")));
+    roster.on_listing({host("a", "fd-a", 100)}, restored,
+                      now + gateway::host_reregistration_period);
+    CHECK(roster.dial_targets().empty());
+}
