Pass the newest configuration on to gateways that know an older copy

A gateway that starts between a restore of the store and the operator's second write knows only the older copy: keys that were revoked count, routes that were added are refused. Its peers know better. Each tells a peer that connects, and all after a listing, which version it has in force; who has a newer one replies with the configuration itself.

--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -23,10 +23,31 @@
         for (const objectstore::object& o : listing.objects) {
             apply(o, listing.current_as_of);
         }
+        on_listed();
     }
     void on_change(const objectstore::object& o) { apply(o, {}); }
     void on_confirmed_current(core::boot_time t) { context_.configuration.confirm_current(t); }
     void on_store_recovered() {}
+    /// Applies the configuration that a peer has in force if it is newer.
+    void apply_copy(const std::string& text, const core::host_id& peer)
+    {
+        if (apply_text(text, {})) {
+            core::log_event("configuration_copied").field("version", version()).field("peer", peer);
+        }
+    }
+
+    /// Version of the configuration in force; zero if there is none.
+    routes::configuration_version version() const
+    {
+        return context_.configuration.known() ? context_.configuration.table()->version()
+                                              : routes::configuration_version{};
+    }
+    /// Text of the configuration in force.
+    const std::string& text() const { return text_; }
+
+    /// Is called after a listing has been applied.
+    std::function<void()> on_listed = [] {
+    };
 
 private:
     void apply(const objectstore::object& o, core::boot_time current_as_of)
@@ -34,28 +55,33 @@
         if (o.deleted || o.key != Site::configuration_key()) {
             return;
         }
-        core::result<routes::configuration> decoded = Site::decode_configuration(o.body);
+        if (apply_text(o.body, current_as_of)) {
+            core::log_event("configuration_in_force")
+                .field("version", version())
+                .field("revision", o.version)
+                .field("routes", context_.configuration.table()->route_count())
+                .field("workspaces", context_.configuration.table()->workspace_count());
+        }
+    }
+    bool apply_text(const std::string& text, core::boot_time current_as_of)
+    {
+        core::result<routes::configuration> decoded = Site::decode_configuration(text);
         if (!decoded) {
             core::log_event("configuration_unreadable", core::log_event::level::error)
-                .field("revision", o.version)
                 .field("reason", decoded.error().detail);
-            return;
+            return false;
         }
-        const std::size_t routes = decoded.value().routes.size();
-        const std::size_t workspaces = decoded.value().workspaces.size();
         if (!context_.configuration.apply(std::move(decoded.value()), current_as_of)) {
-            return;
+            return false;
         }
-        core::log_event("configuration_in_force")
-            .field("version", context_.configuration.table()->version())
-            .field("revision", o.version)
-            .field("routes", routes)
-            .field("workspaces", workspaces);
+        text_ = text;
         on_change_();
+        return true;
     }
 
     proxy::proxy_context& context_;
     std::function<void()> on_change_;
+    std::string text_;
 };
 
 /// Applies the registered endpoints from the store.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/configurationexchange.h"
 #include "gateway/feedsinks.h"
 #include "gateway/gatewayconstants.h"
 #include "gateway/limitexchange.h"
@@ -71,6 +72,7 @@
     limit_exchange limits_;
     typename Site::store store_;
     configuration_sink<Site> configuration_sink_;
+    configuration_exchange<configuration_sink<Site>> configurations_;
     endpoint_sink<Site> endpoint_sink_;
     host_sink host_sink_;
     objectstore::kind_feed<typename Site::store, configuration_sink<Site>> configuration_feed_;
@@ -110,7 +112,8 @@
       part_reports_(context_, *hub_), limits_(settings_.host, context_, *hub_),
       store_(executor, settings_.store_address),
       configuration_sink_(context_, [this] { context_.apply_endpoints(); }),
-      endpoint_sink_(context_), host_sink_(roster_, [this] { on_hosts(); }),
+      configurations_(configuration_sink_, *hub_), endpoint_sink_(context_),
+      host_sink_(roster_, [this] { on_hosts(); }),
       configuration_feed_(executor, store_, Site::configuration_key().kind, configuration_sink_,
                           configuration_feed_timing, seed + 1),
       endpoint_feed_(executor, store_, Site::endpoint_kind(), endpoint_sink_, endpoint_feed_timing,
@@ -129,12 +132,16 @@
         core::log_event("peer_up").field("peer", h.host).field("incarnation", h.incarnation);
         part_reports_.on_peer_up(h.host);
         limits_.on_peer_up(h.host);
+        configurations_.on_peer_up(h.host);
     };
     hub_->on_peer_down = [this](const membership::peer_hello& h) {
         core::log_event("peer_down").field("peer", h.host).field("incarnation", h.incarnation);
         roster_.on_peer_down(h.host);
         limits_.on_peer_down(h.host);
     };
+    configuration_sink_.on_listed = [this] {
+        configurations_.on_listing();
+    };
     hub_->on_heartbeat = [](const membership::peer_hello&, const membership::peer_heartbeat&) {
     };
 }
@@ -246,7 +253,8 @@
         part_reports_.on_report(peer, payload);
         return;
     }
-    if (limits_.on_message(peer, type, payload)) {
+    if (limits_.on_message(peer, type, payload) ||
+        configurations_.on_message(peer, type, payload)) {
         return;
     }
     if (type != dispatch::load_report_type) {
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -121,6 +121,8 @@
     configuration_version version() const { return accepted_.version; }
     const caller_limits& limits() const { return accepted_.limits; }
     const std::vector<service_profile>& services() const { return accepted_.services; }
+    std::size_t route_count() const { return accepted_.routes.size(); }
+    std::size_t workspace_count() const { return accepted_.workspaces.size(); }
     /// Whether any workspaces are configured. Without them, requests need no key.
     bool has_workspaces() const { return !accepted_.workspaces.empty(); }
 
