Restore the store from a copy in the soak, and test lost registrations of groups

The stand-ins' store had no restore. store_restored copies it, lets it be away, brings the copy back in a new era, and writes again what the operator and the endpoints wrote.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds slow_store_delay{400};
 constexpr std::chrono::milliseconds late_order_delay{1200};
 constexpr unsigned slow_endpoint_factor = 8;
+/// Time for which the store is away before it comes back from a copy, and after which the lost
+/// objects are written again.
+constexpr std::chrono::milliseconds store_away_time{700};
+constexpr std::chrono::milliseconds rewrite_delay{500};
 /// Requests per second that endpoints say they accept.
 constexpr std::array<double, 4> request_limits{0.5, 1.0, 2.0, 5.0};
 constexpr const char* unsolicited_response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nspam";
@@ -87,6 +91,9 @@
     else if (f.kind == kind::endpoint_limited) {
         co_await limit_endpoint(f);
     }
+    else if (f.kind == kind::store_restored) {
+        co_await restore_store(f);
+    }
     else {
         change_configuration(f);
     }
@@ -355,6 +362,36 @@
     }
 }
 
+core::task<void> fault_injector::restore_store(planned_fault f)
+{
+    // A second restore begins when the first one has ended.
+    if (restoring_) {
+        co_return;
+    }
+    restoring_ = true;
+    site_.store().copy();
+    co_await core::sleep_for(f.duration / 2);
+    const disturbance_scope scope(site_.checker(), disturbance_target::store, 0);
+    std::vector<soak_site::node*> nodes;
+    for (std::vector<soak_site::node>* list : {&site_.gateways(), &site_.agents()}) {
+        for (soak_site::node& n : *list) {
+            nodes.push_back(&n);
+        }
+    }
+    for (soak_site::node* const n : nodes) {
+        n->store->faults.closes_connections = true;
+    }
+    co_await core::sleep_for(store_away_time);
+    site_.store().restore();
+    for (soak_site::node* const n : nodes) {
+        n->store->faults.closes_connections = false;
+    }
+    // The operator and the endpoints write again what they wrote.
+    co_await core::sleep_for(rewrite_delay);
+    site_.publish_again();
+    restoring_ = false;
+}
+
 void fault_injector::change_configuration(planned_fault f)
 {
     declared_configuration changed = site_.environment().declared;
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -26,6 +26,7 @@
     void change_configuration(planned_fault f);
     core::task<void> stop_gateway(std::size_t i);
     core::task<void> limit_endpoint(planned_fault f);
+    core::task<void> restore_store(planned_fault f);
     core::task<void> drain_endpoint(soak_site::endpoint& e);
     core::task<void> crash_endpoint(soak_site::endpoint& e, std::chrono::milliseconds duration);
     soak_site::endpoint& pick_endpoint(std::uint32_t target);
@@ -34,6 +35,7 @@
     soak_site& site_;
     std::size_t active_faults_ = 0;
     std::uint64_t new_key_count_ = 0;
+    bool restoring_ = false;
     std::vector<std::string> findings_;
 };
 
--- a/tests/soak/faultscript.cpp
+++ b/tests/soak/faultscript.cpp
@@ -56,7 +56,8 @@
                                                                           "store_turns_one_away",
                                                                           "configuration_changes",
                                                                           "key_revoked",
-                                                                          "endpoint_limited"};
+                                                                          "endpoint_limited",
+                                                                          "store_restored"};
 
 } // namespace
 
--- a/tests/soak/faultscript.h
+++ b/tests/soak/faultscript.h
@@ -48,7 +48,8 @@
     // The following kinds are added to the faults of a seed, which stay the same.
     first_added,
     endpoint_limited = first_added,
-    last = endpoint_limited,
+    store_restored,
+    last = store_restored,
 };
 std::string_view to_string(fault_kind k);
 
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -239,6 +239,7 @@
     const endpoint_options& o = e.server->options();
     boost::json::value spec = boost::json::parse(encode_registration(
         o.service.str(), e.address, e.domain, o.slots, draining, o.incarnation));
+    registrations_[o.endpoint.str()] = spec;
     store_.put({std::string(platform::endpoint_kind), o.endpoint.str()}, std::move(spec));
     if (draining) {
         checker_.on_endpoint_leaving(o.endpoint, core::runtime_clock::now());
@@ -248,6 +249,7 @@
 void soak_site::deregister_endpoint(const endpoint& e)
 {
     const core::endpoint_id& id = e.server->options().endpoint;
+    registrations_.erase(id.str());
     if (store_.contains({std::string(platform::endpoint_kind), id.str()})) {
         store_.remove({std::string(platform::endpoint_kind), id.str()});
         checker_.on_endpoint_leaving(id, core::runtime_clock::now());
@@ -274,6 +276,22 @@
     environment_.declared = std::move(changed);
 }
 
+void soak_site::publish_again()
+{
+    store_.put(
+        {std::string(platform::configuration_kind), std::string(platform::configuration_name)},
+        boost::json::parse(encode_configuration(environment_.declared)));
+    const std::string kind(platform::endpoint_kind);
+    for (const std::string& name : store_.names(kind)) {
+        if (!registrations_.contains(name)) {
+            store_.remove({kind, name});
+        }
+    }
+    for (const std::pair<const std::string, boost::json::value>& entry : registrations_) {
+        store_.put({kind, entry.first}, entry.second);
+    }
+}
+
 void soak_site::start()
 {
     publish_configuration(initial_configuration(shape_));
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -8,6 +8,7 @@
 #include "standins/standinengine.h"
 #include "standins/standinstore.h"
 
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -81,6 +82,9 @@
     void restart_endpoint(endpoint& e);
     /// Writes a changed configuration to the store and reports it to the checker as acknowledged.
     void publish_configuration(declared_configuration changed);
+    /// Writes the configuration and the registrations again after the store has lost some of them,
+    /// and removes registrations that have lapsed.
+    void publish_again();
 
 private:
     std::string loopback_ip(unsigned block, std::size_t number) const;
@@ -109,6 +113,8 @@
     std::vector<endpoint> plain_endpoints_;
     std::vector<std::unique_ptr<core::asio::ip::tcp::acceptor>> listeners_;
     caller_environment environment_;
+    /// Registrations of the endpoints, as last written.
+    std::map<std::string, boost::json::value> registrations_;
     std::vector<std::unique_ptr<caller>> callers_;
     std::size_t running_callers_ = 0;
 };
