--- a/src/rankcontrol/tests/tst_memberregistry.cpp
+++ b/src/rankcontrol/tests/tst_memberregistry.cpp
@@ -43,6 +43,13 @@
     run.advance(30s);
     LONGS_EQUAL(1, groups.size());
     store.restore(core::revision{});
+    for (const char* const name : {"x", "y", "z"}) {
+        run.spawn([](fakes::memory_store& s, objectstore::object_key key) -> core::task<void> {
+            const std::string body = "{}";
+            const objectstore::call_context call{"test", core::runtime_clock::now() + 1s, 1000ms};
+            co_await s.put(key, body, core::revision{}, call);
+        }(store, {"other", name}));
+    }
     run.advance(30s);
     LONGS_EQUAL(1, groups.size());
 }
