Take a refusal for that of a request only if it has the request's id

What callers see: 503 for a request that an endpoint had run, or two runs of a request that may run once (REFUSED, TWICE), when a faulty endpoint writes an earlier refusal without its id on a kept connection. Reported by operators of other systems; here it was possible, as the mark that a request was not run was read before the missing id was noticed. A refusal with another id was skipped already.

refusal_without_an_id_is_taken_for_that_of_the_request fails before (200 from a second endpoint instead of 502); refusal_of_an_earlier_request_is_taken_for_that_of_the_request held already.

--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -258,16 +258,16 @@
                 core::counter_for("foreign_answers_total").add();
                 continue;
             }
+            if (metadata.id.empty()) {
+                // It may belong to an earlier request on this connection.
+                outcome.reason = "answer_without_id";
+                co_return outcome;
+            }
             if (metadata.not_run) {
                 outcome.result = attempt_result::not_run;
                 outcome.reason = "endpoint_refused";
                 outcome.work = dispatch::work_outcome::refused;
             }
-            else if (metadata.id.empty()) {
-                // It may belong to an earlier request on this connection.
-                outcome.reason = "answer_without_id";
-                co_return outcome;
-            }
             else if (!metadata.genuine) {
                 outcome.reason = "answer_not_genuine";
                 co_return outcome;
--- a/src/proxy/tests/tst_troubledendpoints.cpp
+++ b/src/proxy/tests/tst_troubledendpoints.cpp
@@ -179,3 +179,28 @@
     LONGS_EQUAL(1, b.received_requests.size());
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
+
+// A faulty endpoint wrote an earlier refusal once more. The request had run, but its caller was told
+// that it had not, or it ran at a second endpoint.
+TEST(troubled_endpoints, refusal_without_an_id_is_taken_for_that_of_the_request)
+{
+    configure(routes::retry_policy::at_most_once);
+    a.replies = {{"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}};
+    b.replies = {{full_answer("7", "text")}};
+    send_request();
+    LONGS_EQUAL(502, status());
+    LONGS_EQUAL(1, received_requests());
+}
+
+TEST(troubled_endpoints, refusal_of_an_earlier_request_is_taken_for_that_of_the_request)
+{
+    configure(routes::retry_policy::at_most_once);
+    a.replies = {{full_answer("6", "", 503, "Not-Run: 1\r\n") + full_answer("7", "text")}};
+    send_request();
+    LONGS_EQUAL(200, status());
+    answer.clear();
+    a.replies = {{full_answer("6", "", 503, "Not-Run: 1\r\n"), reply::after_reply::close}};
+    send_request();
+    LONGS_EQUAL(502, status());
+    LONGS_EQUAL(2, received_requests());
+}
