Cut a stream instead of putting another answer into it

Such an answer now ends the attempt: the stream is resumed at another endpoint if its route allows it, and cut otherwise. Only a 200 begins or goes on with a stream.

error_of_the_next_endpoint_gets_into_a_stream (404) and answer_without_events_ends_a_stream_as_complete (204) fail before; the same with 500 and with a refusal held already.

--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -238,7 +238,7 @@
         last_activity_ = core::runtime_clock::now();
         const answer_metadata metadata = Dialect::read_answer(head.value());
         const bool is_stream_answer = stream() && metadata.genuine && !metadata.id.empty() &&
-                                      head.value().status / 100 == 2 && !metadata.not_run;
+                                      head.value().status == 200 && !metadata.not_run;
         const bool mismatched = !metadata.id.empty() && metadata.id != routed_.request.id;
         if (!mismatched && !metadata.id.empty()) {
             record_signal(metadata, record);
@@ -272,6 +272,12 @@
                 outcome.reason = "answer_not_genuine";
                 co_return outcome;
             }
+            else if (answer_.begun()) {
+                // The caller has part of a stream, which this answer does not continue.
+                outcome.reason = "stream_not_continued";
+                outcome.work = dispatch::work_outcome::failed;
+                co_return outcome;
+            }
             else {
                 const bool failed = head.value().status >= 500;
                 outcome.result = failed ? attempt_result::failed : attempt_result::answered;
--- a/src/proxy/tests/tst_troubledendpoints.cpp
+++ b/src/proxy/tests/tst_troubledendpoints.cpp
@@ -24,6 +24,21 @@
         other.excluded = {core::endpoint_id("a")};
         return service().queue.slot_scheduler().start(other, core::runtime_clock::now());
     }
+    /// Lets a stream break off at the first endpoint and the second one give this answer. Checks
+    /// that the caller gets the events, nothing of the answer, and no end of the stream.
+    void break_off_and_answer(const std::string& next)
+    {
+        configure(routes::retry_policy::resumable_stream);
+        a.replies = {{stream_head("7") + events(0, 2), reply::after_reply::reset}};
+        b.replies = {{next}};
+        send_request();
+        LONGS_EQUAL(200, status());
+        LONGS_EQUAL(2, received_requests());
+        CHECK(answer.find("id: 2\ndata: x") != std::string::npos);
+        CHECK(answer.find("the error") == std::string::npos);
+        CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(!ends_with_last_chunk());
+    }
 };
 
 } // namespace
@@ -180,8 +195,8 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
-// A faulty endpoint wrote an earlier refusal once more. The request had run, but its caller was told
-// that it had not, or it ran at a second endpoint.
+// A faulty endpoint wrote an earlier refusal once more. The request had run, but its caller was
+// told that it had not, or it ran at a second endpoint.
 TEST(troubled_endpoints, refusal_without_an_id_is_taken_for_that_of_the_request)
 {
     configure(routes::retry_policy::at_most_once);
@@ -204,3 +219,24 @@
     LONGS_EQUAL(502, status());
     LONGS_EQUAL(2, received_requests());
 }
+// A stream had begun and broke off, and the next endpoint answered with an error. The caller found
+// the error in the middle of the stream.
+TEST(troubled_endpoints, error_of_the_next_endpoint_gets_into_a_stream)
+{
+    break_off_and_answer(full_answer("7", "the error", 404));
+}
+
+TEST(troubled_endpoints, failure_of_the_next_endpoint_gets_into_a_stream)
+{
+    break_off_and_answer(full_answer("7", "the error", 500));
+}
+
+TEST(troubled_endpoints, refusal_of_the_next_endpoint_gets_into_a_stream)
+{
+    break_off_and_answer(full_answer("7", "the error", 503, "Not-Run: 1\r\n"));
+}
+
+TEST(troubled_endpoints, answer_without_events_ends_a_stream_as_complete)
+{
+    break_off_and_answer(full_answer("7", "", 204));
+}
