Keep to what endpoints say: that they leave, and when they want requests again

New on the users' pages: an endpoint that leaves says so in its answers, and one that refuses with 503 may say for how long it wants nothing from that entry.

endpoint_signals keeps both beside the limit, by endpoint and incarnation, and the choice of an endpoint asks it once; it is asked again just before a request is written. That an endpoint leaves is told to all entries and lasts until another incarnation. A quiet time concerns one entry, is bounded by 60 s, and only a zero shortens it. Requests that cannot be served are refused at once.

--- a/bench/decisions/limitsbench.cpp
+++ b/bench/decisions/limitsbench.cpp
@@ -134,7 +134,8 @@
                 e.broker.on_peer_up(host, start_time - run_time);
             }
         }
-        e.signals.on_answer({endpoint, core::incarnation{1}, per_second_, start_time}, start_time);
+        e.signals.on_answer({endpoint, core::incarnation{1}, per_second_, false, {}, start_time},
+                            start_time);
         e.signals.ask_for_permit = [this, i](const core::endpoint_id&, double limit,
                                              std::chrono::milliseconds max_wait) {
             const backpressure::permit_source source =
--- a/src/backpressure/backpressureconstants.h
+++ b/src/backpressure/backpressureconstants.h
@@ -27,9 +27,11 @@
 /// Time after which the part of an unreachable entry is used by the others, if they are the
 /// majority.
 inline constexpr std::chrono::seconds absent_part_lifetime{10};
+/// Upper bound on the time for which an endpoint gets no requests because it has asked for that.
+inline constexpr std::chrono::seconds max_quiet_time{60};
 /// Time for which what an endpoint has said is kept while the endpoint is not registered.
 inline constexpr std::chrono::seconds unregistered_signal_lifetime{30};
 /// Maximum number of endpoints in one report to a peer.
-inline constexpr std::size_t max_reported_limits = 1000;
+inline constexpr std::size_t max_reported_signals = 1000;
 
 } // namespace currantpitch::backpressure
--- a/src/backpressure/backpressuremessages.h
+++ b/src/backpressure/backpressuremessages.h
@@ -11,36 +11,38 @@
 
 /// Message types 112 to 127 are reserved for backpressure.
 enum message_number : std::uint8_t {
-    limit_report_type = 112,
+    signal_report_type = 112,
     permit_request_type = 113,
     permit_offer_type = 114,
 };
 
-/// The limit that an endpoint has named in an answer, or that it no longer names.
-struct reported_limit {
+/// What an endpoint has said in an answer: the limit that it names or no longer names, and whether
+/// it leaves.
+struct reported_signal {
     core::endpoint_id endpoint;
     core::incarnation incarnation;
     /// Requests per second that the endpoint accepts from all entries together.
     std::optional<double> per_second;
+    bool leaving = false;
     /// Time from the sending of the answered request until the report was sent.
     std::chrono::milliseconds asked_ago{};
 };
 template <class Archive>
-void describe(Archive& archive, reported_limit& m)
+void describe(Archive& archive, reported_signal& m)
 {
-    archive(m.endpoint, m.incarnation, m.per_second, m.asked_ago);
+    archive(m.endpoint, m.incarnation, m.per_second, m.leaving, m.asked_ago);
 }
 
-/// Limits that an entry has learned from answers. Sent to the other entries when one changes, and
-/// all of them to an entry that connects.
-struct limit_report {
-    static constexpr std::uint8_t type = limit_report_type;
-    std::vector<reported_limit> limits;
+/// What an entry has learned from answers of endpoints. Sent to the other entries when it changes,
+/// and all of it to an entry that connects.
+struct signal_report {
+    static constexpr std::uint8_t type = signal_report_type;
+    std::vector<reported_signal> signals;
 };
 template <class Archive>
-void describe(Archive& archive, limit_report& m)
+void describe(Archive& archive, signal_report& m)
 {
-    archive(m.limits);
+    archive(m.signals);
 }
 
 /// Asks the owner of an endpoint's permits for one of them.
--- a/src/backpressure/endpointsignals.cpp
+++ b/src/backpressure/endpointsignals.cpp
@@ -6,67 +6,99 @@
 
 namespace currantpitch::backpressure {
 
-bool endpoint_signals::on_answer(const endpoint_signal& signal, core::time_point now)
+signal_change endpoint_signals::on_answer(const endpoint_signal& signal, core::time_point now)
 {
-    const auto found = limited_.find(signal.endpoint);
-    const bool known = found != limited_.end();
+    const auto found = states_.find(signal.endpoint);
+    const bool known = found != states_.end();
     if (known && signal.incarnation.value < found->second.incarnation.value) {
-        return false;
+        return {};
+    }
+    if (!known && !signal.request_limit && !signal.leaving && !signal.quiet_time) {
+        return {};
+    }
+    endpoint_state& s = states_[signal.endpoint];
+    if (s.incarnation != signal.incarnation) {
+        s = endpoint_state{};
+        s.incarnation = signal.incarnation;
     }
+    signal_change change;
     if (signal.request_limit) {
         const double limit =
             std::clamp(*signal.request_limit, min_request_limit, max_request_limit);
-        endpoint_state& s = limited_[signal.endpoint];
-        const bool changed =
-            !known || s.request_limit != limit || s.incarnation != signal.incarnation;
-        s.incarnation = signal.incarnation;
+        change.request_limit = s.request_limit != limit;
         s.request_limit = limit;
         s.named_at = now;
-        return changed;
     }
-    if (!known || (signal.incarnation == found->second.incarnation &&
-                   signal.asked_at <= found->second.named_at)) {
-        return false;
+    else if (s.request_limit && signal.asked_at > s.named_at) {
+        change.request_limit = true;
+        s.request_limit.reset();
+        s.permit = permit_state::none;
     }
-    limited_.erase(found);
-    return true;
+    change.leaving = signal.leaving && !s.leaving;
+    s.leaving = s.leaving || signal.leaving;
+    if (signal.quiet_time) {
+        const core::time_point until =
+            now + std::min<core::duration>(*signal.quiet_time, max_quiet_time);
+        const bool ends = signal.quiet_time->count() == 0;
+        change.quiet_time = ends ? s.quiet_until > now : until > s.quiet_until;
+        s.quiet_until = ends ? now : std::max(s.quiet_until, until);
+    }
+    s.said_at = now;
+    if (!s.request_limit && !s.leaving && s.quiet_until <= now) {
+        states_.erase(signal.endpoint);
+    }
+    return change;
 }
 
 void endpoint_signals::on_registered(const core::endpoint_id& endpoint,
                                      core::incarnation incarnation)
 {
-    const auto found = limited_.find(endpoint);
-    if (found != limited_.end() && found->second.incarnation.value < incarnation.value) {
-        limited_.erase(found);
+    const auto found = states_.find(endpoint);
+    if (found != states_.end() && found->second.incarnation.value < incarnation.value) {
+        states_.erase(found);
     }
 }
 
 void endpoint_signals::retain(const std::set<core::endpoint_id>& registered, core::time_point now)
 {
-    std::erase_if(limited_, [&registered,
-                             now](const std::pair<const core::endpoint_id, endpoint_state>& entry) {
+    std::erase_if(states_, [&registered,
+                            now](const std::pair<const core::endpoint_id, endpoint_state>& entry) {
         return !registered.contains(entry.first) &&
-               now - entry.second.named_at > unregistered_signal_lifetime;
+               now - entry.second.said_at > unregistered_signal_lifetime;
     });
 }
 
 std::optional<double> endpoint_signals::request_limit(const core::endpoint_id& endpoint) const
 {
-    const auto found = limited_.find(endpoint);
-    return found == limited_.end() ? std::nullopt
-                                   : std::optional<double>(found->second.request_limit);
+    const auto found = states_.find(endpoint);
+    return found == states_.end() ? std::nullopt : found->second.request_limit;
+}
+
+bool endpoint_signals::leaving(const core::endpoint_id& endpoint) const
+{
+    const auto found = states_.find(endpoint);
+    return found != states_.end() && found->second.leaving;
 }
 
-limit_report endpoint_signals::snapshot(core::time_point now) const
+bool endpoint_signals::declines(const core::endpoint_id& endpoint, core::time_point now) const
 {
-    limit_report report;
-    for (const std::pair<const core::endpoint_id, endpoint_state>& entry : limited_) {
-        if (report.limits.size() == max_reported_limits) {
+    const auto found = states_.find(endpoint);
+    return found != states_.end() && (found->second.leaving || found->second.quiet_until > now);
+}
+
+signal_report endpoint_signals::snapshot(core::time_point now) const
+{
+    signal_report report;
+    for (const std::pair<const core::endpoint_id, endpoint_state>& entry : states_) {
+        const endpoint_state& s = entry.second;
+        if (report.signals.size() == max_reported_signals) {
             break;
         }
-        const core::duration named_ago = now - entry.second.named_at;
-        report.limits.push_back({entry.first, entry.second.incarnation, entry.second.request_limit,
-                                 std::chrono::duration_cast<std::chrono::milliseconds>(named_ago)});
+        if (s.request_limit || s.leaving) {
+            report.signals.push_back(
+                {entry.first, s.incarnation, s.request_limit, s.leaving,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(now - s.said_at)});
+        }
     }
     return report;
 }
@@ -74,11 +106,20 @@
 admission endpoint_signals::admission_of(const core::endpoint_id& endpoint,
                                          core::time_point now) const
 {
-    const auto found = limited_.find(endpoint);
-    if (found == limited_.end()) {
+    const auto found = states_.find(endpoint);
+    if (found == states_.end()) {
         return admission::unlimited;
     }
     const endpoint_state& s = found->second;
+    if (s.leaving) {
+        return admission::leaving;
+    }
+    if (s.quiet_until > now) {
+        return admission::quiet;
+    }
+    if (!s.request_limit) {
+        return admission::unlimited;
+    }
     switch (s.permit) {
     case permit_state::none:
         break;
@@ -105,17 +146,23 @@
 core::time_point endpoint_signals::earliest_admission(const core::endpoint_id& endpoint,
                                                       core::time_point now) const
 {
-    const auto found = limited_.find(endpoint);
-    const bool known_later =
-        found != limited_.end() && (found->second.permit == permit_state::granted ||
-                                    found->second.permit == permit_state::refused);
-    return known_later ? std::max(found->second.permit_at, now) : now;
+    const auto found = states_.find(endpoint);
+    if (found == states_.end()) {
+        return now;
+    }
+    const endpoint_state& s = found->second;
+    if (s.leaving) {
+        return core::time_point::max();
+    }
+    const bool permit_known =
+        s.request_limit && (s.permit == permit_state::granted || s.permit == permit_state::refused);
+    return std::max({now, s.quiet_until, permit_known ? s.permit_at : now});
 }
 
 void endpoint_signals::take_permit(const core::endpoint_id& endpoint)
 {
-    const auto found = limited_.find(endpoint);
-    if (found != limited_.end()) {
+    const auto found = states_.find(endpoint);
+    if (found != states_.end()) {
         found->second.permit = permit_state::none;
     }
 }
@@ -126,16 +173,16 @@
     if (admission_of(endpoint, now) != admission::requestable) {
         return;
     }
-    endpoint_state& s = limited_.at(endpoint);
+    endpoint_state& s = states_.at(endpoint);
     s.permit = permit_state::asked;
     s.permit_at = now;
-    ask_for_permit(endpoint, s.request_limit, max_wait);
+    ask_for_permit(endpoint, *s.request_limit, max_wait);
 }
 
 bool endpoint_signals::on_offer(const permit_offer& offer, core::time_point now)
 {
-    const auto found = limited_.find(offer.endpoint);
-    if (found == limited_.end() || found->second.permit != permit_state::asked) {
+    const auto found = states_.find(offer.endpoint);
+    if (found == states_.end() || found->second.permit != permit_state::asked) {
         return false;
     }
     found->second.permit = offer.granted ? permit_state::granted : permit_state::refused;
--- a/src/backpressure/endpointsignals.h
+++ b/src/backpressure/endpointsignals.h
@@ -16,6 +16,10 @@
     core::incarnation incarnation;
     /// Requests per second that the endpoint accepts from all entries together.
     std::optional<double> request_limit;
+    /// The endpoint leaves and wants no further requests.
+    bool leaving = false;
+    /// Time for which the endpoint wants no requests from this entry. Zero ends an earlier one.
+    std::optional<std::chrono::milliseconds> quiet_time{};
     /// Time at which the request was sent that the endpoint answered.
     core::time_point asked_at;
 };
@@ -27,16 +31,29 @@
     requestable, ///< a permit may be requested
     pending,     ///< the answer to the request for a permit, or the start of the permit, is awaited
     refused,     ///< no permit is available for now
+    quiet,       ///< the endpoint wants no requests for now
+    leaving,     ///< the endpoint wants no further requests
+};
+
+/// What is new in an answer of an endpoint.
+struct signal_change {
+    bool request_limit = false;
+    bool leaving = false;
+    bool quiet_time = false;
+
+    bool any() const { return request_limit || leaving || quiet_time; }
 };
 
 /// What the endpoints have said themselves about the requests that they accept, apart from what the
-/// store says of them. A request for an endpoint that has named a limit needs a permit.
+/// store says of them. A request for an endpoint that has named a limit needs a permit. An endpoint
+/// that leaves gets no requests until another incarnation of it is known.
 class endpoint_signals {
 public:
     /// Records what an answer says, received by this entry or by a peer. An answer without a limit
     /// ends an earlier one only if its request was sent after the limit was last named, as answers
-    /// may overtake each other. Returns whether the endpoint's limit has changed.
-    bool on_answer(const endpoint_signal& signal, core::time_point now);
+    /// may overtake each other. A quiet time does not end sooner than an earlier one, unless it is
+    /// zero.
+    signal_change on_answer(const endpoint_signal& signal, core::time_point now);
     /// Forgets what an earlier incarnation of a registered endpoint has said.
     void on_registered(const core::endpoint_id& endpoint, core::incarnation incarnation);
     /// Forgets the endpoints that have not been registered for a while.
@@ -47,8 +64,12 @@
     /// Requests per second that the endpoint accepts from all entries together, within the bounds
     /// min_request_limit and max_request_limit, or nullopt if it has named no limit.
     std::optional<double> request_limit(const core::endpoint_id& endpoint) const;
-    /// The known limits, as a report to a peer, at most max_reported_limits of them.
-    limit_report snapshot(core::time_point now) const;
+    bool leaving(const core::endpoint_id& endpoint) const;
+    /// Whether the endpoint wants no requests, for now or ever.
+    bool declines(const core::endpoint_id& endpoint, core::time_point now) const;
+    /// What is known that concerns all entries, as a report to a peer, at most max_reported_signals
+    /// of them.
+    signal_report snapshot(core::time_point now) const;
 
     admission admission_of(const core::endpoint_id& endpoint, core::time_point now) const;
     /// Whether a request may be sent to the endpoint now.
@@ -73,14 +94,17 @@
     enum class permit_state { none, asked, granted, refused };
     struct endpoint_state {
         core::incarnation incarnation;
-        double request_limit = 0;
+        std::optional<double> request_limit;
         core::time_point named_at;
+        core::time_point said_at;
+        bool leaving = false;
+        core::time_point quiet_until;
         permit_state permit = permit_state::none;
         /// Time of the question, start of the permit, or time at which to ask again.
         core::time_point permit_at;
     };
 
-    std::map<core::endpoint_id, endpoint_state> limited_;
+    std::map<core::endpoint_id, endpoint_state> states_;
 };
 
 } // namespace currantpitch::backpressure
--- a/src/backpressure/tests/tst_sharedlimits.cpp
+++ b/src/backpressure/tests/tst_sharedlimits.cpp
@@ -41,7 +41,8 @@
             entries_.push_back(std::make_unique<entry>(name(i)));
             entry& e = *entries_.back();
             e.broker.set_registered(hosts, now_);
-            e.signals.on_answer({endpoint, core::incarnation{1}, per_second, now_}, now_);
+            e.signals.on_answer({endpoint, core::incarnation{1}, per_second, false, {}, now_},
+                                now_);
             e.signals.ask_for_permit = [this, i](const core::endpoint_id&, double limit,
                                                  std::chrono::milliseconds max_wait) {
                 ask(i, limit, max_wait);
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "backpressure/backpressureconstants.h"
+#include "core/counters.h"
 #include "dispatch/dispatchconstants.h"
 
 #include <algorithm>
@@ -183,6 +184,33 @@
                                : signals_->admission_of(s.properties.endpoint, now);
 }
 
+namespace {
+
+void count_left_out(backpressure::admission a)
+{
+    static core::counter& leaving =
+        core::counter_for("endpoints_left_out_total", "reason=\"leaving\"");
+    static core::counter& quiet = core::counter_for("endpoints_left_out_total", "reason=\"quiet\"");
+    static core::counter& limited =
+        core::counter_for("endpoints_left_out_total", "reason=\"limited\"");
+    switch (a) {
+    case backpressure::admission::leaving:
+        leaving.add();
+        break;
+    case backpressure::admission::quiet:
+        quiet.add();
+        break;
+    case backpressure::admission::refused:
+    case backpressure::admission::pending:
+        limited.add();
+        break;
+    default:
+        break;
+    }
+}
+
+} // namespace
+
 std::vector<scheduler::candidate> scheduler::candidates(const dispatch_request& request,
                                                         bool include_requestable,
                                                         core::time_point now)
@@ -201,6 +229,7 @@
             continue;
         }
         const admission a = admission_of(s, now);
+        count_left_out(a);
         const bool usable = (a == admission::unlimited && !limited_only) ||
                             a == admission::permitted ||
                             (a == admission::requestable && include_requestable);
@@ -310,8 +339,10 @@
 bool scheduler::has_candidate(const dispatch_request& request) const
 {
     return std::any_of(endpoints_.begin(), endpoints_.end(),
-                       [&request](const std::pair<const core::endpoint_id, endpoint_state>& e) {
-                           return e.second.available && !request.excluded.contains(e.first);
+                       [&](const std::pair<const core::endpoint_id, endpoint_state>& e) {
+                           const bool leaving = signals_ != nullptr && signals_->leaving(e.first);
+                           return e.second.available && !leaving &&
+                                  !request.excluded.contains(e.first);
                        });
 }
 
@@ -484,12 +515,20 @@
                           ? signals_->request_limit(entry.first).value_or(0)
                           : 0;
     }
+    const core::time_point earliest = std::max(now, earliest_start({}, now));
+    if (per_second == 0) {
+        // The endpoints want no requests for a time. The callers return spread over a part of it.
+        const std::chrono::milliseconds wait = std::chrono::ceil<std::chrono::milliseconds>(
+            std::min<core::duration>(earliest - now, backpressure::max_quiet_time));
+        std::uniform_int_distribution<std::int64_t> spread(0, wait.count() / 4 +
+                                                                  min_retry_after.count());
+        return wait + std::chrono::milliseconds(spread(random_));
+    }
     const double own_per_second = per_second / static_cast<double>(process_count_);
     const core::duration interval = std::min<core::duration>(
         std::chrono::duration_cast<core::duration>(
             std::chrono::duration<double>(1 / std::max(own_per_second, 1e-3))),
         max_retry_after);
-    const core::time_point earliest = std::max(now, earliest_start({}, now));
     last_return_ = std::max(last_return_ + interval, earliest);
     if (last_return_ - now > max_retry_after) {
         // More callers wait than the limits allow: they return spread over the last half.
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -127,7 +127,8 @@
     unsigned load_of(const core::endpoint_id& endpoint, core::time_point now);
     /// Time after which a retry is likely to find a free slot.
     std::chrono::milliseconds retry_after() const;
-    /// Time after which a retry is likely to find a permit, if all endpoints limit their requests.
+    /// Time after which a retry is likely to be admitted, if all endpoints limit their requests or
+    /// want none for now.
     /// Callers that are refused one after another get successive times.
     std::chrono::milliseconds retry_after_limit(core::time_point now);
 
--- a/src/dispatch/tests/tst_scheduler.cpp
+++ b/src/dispatch/tests/tst_scheduler.cpp
@@ -334,7 +334,7 @@
     }
     void limit(const core::endpoint_id& e, double per_second)
     {
-        signals.on_answer({e, core::incarnation{1}, per_second, now}, now);
+        signals.on_answer({e, core::incarnation{1}, per_second, false, {}, now}, now);
     }
     void offer(const core::endpoint_id& e, bool granted, std::chrono::milliseconds starts_in)
     {
@@ -433,3 +433,19 @@
     offer(a, true, 0ms);
     CHECK(scheduler.start(request(), now) == a);
 }
+
+TEST(schedulers_with_limits, endpoint_that_leaves_or_wants_no_requests_is_chosen)
+{
+    signals.on_answer({a, core::incarnation{1}, std::nullopt, true, {}, now}, now);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(scheduler.start(request(), now) == b);
+    }
+    signals.on_answer({b, core::incarnation{1}, std::nullopt, false, 1000ms, now}, now);
+    CHECK(!scheduler.start(request(), now));
+    CHECK(scheduler.earliest_start(request(), now) == now + 1s);
+    CHECK(scheduler.has_candidate(request()));
+    CHECK(scheduler.retry_after_limit(now) >= 1000ms);
+    CHECK(scheduler.start(request(), now + 1s) == b);
+    signals.on_answer({b, core::incarnation{1}, std::nullopt, true, {}, now}, now);
+    CHECK(!scheduler.has_candidate(request()));
+}
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -3,9 +3,9 @@
 #include "gateway/configurationexchange.h"
 #include "gateway/feedsinks.h"
 #include "gateway/gatewayconstants.h"
-#include "gateway/limitexchange.h"
 #include "gateway/metricshandler.h"
 #include "gateway/partreportexchange.h"
+#include "gateway/signalexchange.h"
 #include "intents/hostregistration.h"
 #include "membership/peerhub.h"
 #include "objectstore/kindpoll.h"
@@ -69,7 +69,7 @@
     entry_roster roster_;
     std::shared_ptr<membership::peer_hub> hub_;
     part_report_exchange part_reports_;
-    limit_exchange limits_;
+    signal_exchange limits_;
     typename Site::store store_;
     configuration_sink<Site> configuration_sink_;
     configuration_exchange<configuration_sink<Site>> configurations_;
--- a/src/gateway/limitexchange.cpp
+++ b/src/gateway/signalexchange.cpp
@@ -1,4 +1,4 @@
-#include "gateway/limitexchange.h"
+#include "gateway/signalexchange.h"
 
 #include "backpressure/backpressureconstants.h"
 #include "core/counters.h"
@@ -28,12 +28,12 @@
 
 } // namespace
 
-limit_exchange::limit_exchange(core::host_id self, proxy::proxy_context& context,
-                               membership::peer_hub& hub)
+signal_exchange::signal_exchange(core::host_id self, proxy::proxy_context& context,
+                                 membership::peer_hub& hub)
     : context_(context), hub_(hub), broker_(std::move(self))
 {
-    context_.publish_limit = [this](const backpressure::reported_limit& limit) {
-        hub_.send_to_all(wire::encode(backpressure::limit_report{{limit}}));
+    context_.publish_signal = [this](const backpressure::reported_signal& signal) {
+        hub_.send_to_all(wire::encode(backpressure::signal_report{{signal}}));
     };
     context_.signals.ask_for_permit = [this](const core::endpoint_id& endpoint, double per_second,
                                              std::chrono::milliseconds max_wait) {
@@ -41,32 +41,32 @@
     };
 }
 
-void limit_exchange::set_registered(const std::set<core::host_id>& hosts)
+void signal_exchange::set_registered(const std::set<core::host_id>& hosts)
 {
     broker_.set_registered(hosts, core::runtime_clock::now());
 }
 
-void limit_exchange::on_peer_up(const core::host_id& peer)
+void signal_exchange::on_peer_up(const core::host_id& peer)
 {
     broker_.on_peer_up(peer, core::runtime_clock::now());
-    const backpressure::limit_report known = context_.signals.snapshot(core::runtime_clock::now());
-    if (!known.limits.empty()) {
+    const backpressure::signal_report known = context_.signals.snapshot(core::runtime_clock::now());
+    if (!known.signals.empty()) {
         hub_.send(peer, wire::encode(known));
     }
 }
 
-void limit_exchange::on_peer_down(const core::host_id& peer)
+void signal_exchange::on_peer_down(const core::host_id& peer)
 {
     broker_.on_peer_down(peer, core::runtime_clock::now());
 }
 
-bool limit_exchange::on_message(const core::host_id& peer, std::uint8_t type,
-                                const std::string& payload)
+bool signal_exchange::on_message(const core::host_id& peer, std::uint8_t type,
+                                 const std::string& payload)
 {
     switch (type) {
-    case backpressure::limit_report_type:
-        decode_and_handle<backpressure::limit_report>(
-            payload, [&](const backpressure::limit_report& m) { on_report(peer, m); });
+    case backpressure::signal_report_type:
+        decode_and_handle<backpressure::signal_report>(
+            payload, [&](const backpressure::signal_report& m) { on_report(peer, m); });
         return true;
     case backpressure::permit_request_type:
         decode_and_handle<backpressure::permit_request>(
@@ -84,8 +84,8 @@
     }
 }
 
-void limit_exchange::ask_for_permit(const core::endpoint_id& endpoint, double per_second,
-                                    std::chrono::milliseconds max_wait)
+void signal_exchange::ask_for_permit(const core::endpoint_id& endpoint, double per_second,
+                                     std::chrono::milliseconds max_wait)
 {
     const backpressure::permit_source source =
         broker_.request(endpoint, per_second, max_wait, core::runtime_clock::now());
@@ -100,27 +100,24 @@
     }
 }
 
-void limit_exchange::on_report(const core::host_id& peer, const backpressure::limit_report& report)
+void signal_exchange::on_report(const core::host_id& peer,
+                                const backpressure::signal_report& report)
 {
     const core::time_point now = core::runtime_clock::now();
-    for (const backpressure::reported_limit& limit : report.limits) {
-        const bool readable = !limit.per_second || std::isfinite(*limit.per_second);
-        const bool changed =
-            readable &&
-            context_.signals.on_answer(
-                {limit.endpoint, limit.incarnation, limit.per_second, now - limit.asked_ago}, now);
-        if (changed) {
-            core::log_event("endpoint_limit")
-                .field("endpoint", limit.endpoint)
-                .field("incarnation", limit.incarnation)
-                .field("per_second", context_.signals.request_limit(limit.endpoint).value_or(0))
-                .field("peer", peer);
+    for (const backpressure::reported_signal& reported : report.signals) {
+        if (reported.per_second && !std::isfinite(*reported.per_second)) {
+            continue;
         }
+        const backpressure::endpoint_signal signal{reported.endpoint,   reported.incarnation,
+                                                   reported.per_second, reported.leaving,
+                                                   std::nullopt,        now - reported.asked_ago};
+        context_.log_signal_change(signal, context_.signals.on_answer(signal, now), "peer",
+                                   peer.str());
     }
 }
 
-void limit_exchange::on_request(const core::host_id& peer,
-                                const backpressure::permit_request& request)
+void signal_exchange::on_request(const core::host_id& peer,
+                                 const backpressure::permit_request& request)
 {
     if (!std::isfinite(request.per_second)) {
         core::counter_for("peer_messages_malformed_total").add();
@@ -136,7 +133,7 @@
     hub_.send(peer, wire::encode(offer));
 }
 
-void limit_exchange::on_offer(const backpressure::permit_offer& offer)
+void signal_exchange::on_offer(const backpressure::permit_offer& offer)
 {
     const core::time_point now = core::runtime_clock::now();
     if (!context_.signals.on_offer(offer, now)) {
@@ -147,8 +144,8 @@
                 process_waiting_at(offer.endpoint, offer.granted ? now + offer.starts_in : now));
 }
 
-core::task<void> limit_exchange::process_waiting_at(core::endpoint_id endpoint,
-                                                    core::time_point start)
+core::task<void> signal_exchange::process_waiting_at(core::endpoint_id endpoint,
+                                                     core::time_point start)
 {
     co_await core::sleep_for(start - core::runtime_clock::now());
     const directory::endpoint_record* const record = context_.endpoints.find(endpoint);
--- a/src/gateway/limitexchange.h
+++ b/src/gateway/signalexchange.h
@@ -9,15 +9,16 @@
 
 namespace currantpitch::gateway {
 
-/// Shares the limits of endpoints among the entries. Tells the peers which limits endpoints have
-/// named, and asks the owner of an endpoint's permits for those that this entry needs.
-class limit_exchange {
+/// Shares among the entries what endpoints say of themselves. Tells the peers which limits
+/// endpoints have named and which of them leave, and asks the owner of an endpoint's permits for
+/// those that this entry needs.
+class signal_exchange {
 public:
-    limit_exchange(core::host_id self, proxy::proxy_context& context, membership::peer_hub& hub);
+    signal_exchange(core::host_id self, proxy::proxy_context& context, membership::peer_hub& hub);
 
     /// Replaces the set of registered entries.
     void set_registered(const std::set<core::host_id>& hosts);
-    /// Tells a peer that has just connected which limits are known.
+    /// Tells a peer that has just connected what is known.
     void on_peer_up(const core::host_id& peer);
     void on_peer_down(const core::host_id& peer);
     /// Handles a message of the slice backpressure. Returns false for any other type.
@@ -26,7 +27,7 @@
 private:
     void ask_for_permit(const core::endpoint_id& endpoint, double per_second,
                         std::chrono::milliseconds max_wait);
-    void on_report(const core::host_id& peer, const backpressure::limit_report& report);
+    void on_report(const core::host_id& peer, const backpressure::signal_report& report);
     void on_request(const core::host_id& peer, const backpressure::permit_request& request);
     void on_offer(const backpressure::permit_offer& offer);
     /// Processes the requests that wait for a slot of the endpoint's service.
--- a/src/gateway/tests/tst_limitexchange.cpp
+++ b/src/gateway/tests/tst_signalexchange.cpp
@@ -1,6 +1,6 @@
 #include "core/eventlog.h"
 #include "core/timer.h"
-#include "gateway/limitexchange.h"
+#include "gateway/signalexchange.h"
 #include "wire/packer.h"
 #include "wire/unpacker.h"
 
@@ -66,7 +66,7 @@
     void answer(std::optional<double> limit)
     {
         context.on_endpoint_signal(
-            {limited, core::incarnation{1}, limit, core::runtime_clock::now()}, "id");
+            {limited, core::incarnation{1}, limit, false, {}, core::runtime_clock::now()}, "id");
     }
     bool knows_limit() const { return context.signals.request_limit(limited).has_value(); }
     /// Sends a request, which counts in sent if it goes to the limited endpoint.
@@ -83,13 +83,13 @@
     int sent = 0;
     proxy::proxy_context context;
     std::shared_ptr<membership::peer_hub> hub;
-    gateway::limit_exchange exchange;
+    gateway::signal_exchange exchange;
     asio::ip::tcp::acceptor acceptor;
 };
 
 } // namespace
 
-TEST_GROUP(limit_exchanges)
+TEST_GROUP(signal_exchanges)
 {
     asio::io_context io{1};
     entry_process a{io, "a"};
@@ -118,7 +118,7 @@
     }
 };
 
-TEST(limit_exchanges, limit_is_known_at_a_connected_peer_until_it_ends)
+TEST(signal_exchanges, limit_is_known_at_a_connected_peer_until_it_ends)
 {
     connect();
     a.answer(2);
@@ -129,7 +129,7 @@
     run_until([this] { return !a.knows_limit(); });
 }
 
-TEST(limit_exchanges, limit_is_told_to_a_peer_that_connects_later)
+TEST(signal_exchanges, limit_is_told_to_a_peer_that_connects_later)
 {
     a.answer(2);
     connect();
@@ -137,7 +137,7 @@
 }
 
 // Every entry sent a limited endpoint as many requests as the other endpoints.
-TEST(limit_exchanges, entries_send_a_limited_endpoint_more_than_its_limit_together)
+TEST(signal_exchanges, entries_send_a_limited_endpoint_more_than_its_limit_together)
 {
     connect();
     a.answer(10);
@@ -153,19 +153,27 @@
     CHECK(a.sent + b.sent >= 10);
 }
 
-TEST(limit_exchanges, malformed_messages_are_ignored)
+TEST(signal_exchanges, malformed_messages_are_ignored)
 {
     for (const std::uint8_t type :
-         {backpressure::limit_report_type, backpressure::permit_request_type,
+         {backpressure::signal_report_type, backpressure::permit_request_type,
           backpressure::permit_offer_type}) {
         CHECK(a.exchange.on_message(core::host_id("b"), type, "text"));
     }
-    a.exchange.on_message(
-        core::host_id("b"), backpressure::limit_report_type,
-        wire::encode(backpressure::limit_report{
-            {{limited, core::incarnation{1}, std::numeric_limits<double>::quiet_NaN(), 0ms}}}));
+    a.exchange.on_message(core::host_id("b"), backpressure::signal_report_type,
+                          wire::encode(backpressure::signal_report{
+                              {{limited, core::incarnation{1},
+                                std::numeric_limits<double>::quiet_NaN(), false, 0ms}}}));
     CHECK(!a.knows_limit());
     a.exchange.on_message(core::host_id("b"), backpressure::permit_request_type,
                           wire::encode(backpressure::permit_request{
                               limited, std::numeric_limits<double>::infinity()}));
 }
+
+TEST(signal_exchanges, endpoint_that_leaves_gets_requests_of_other_entries)
+{
+    connect();
+    a.context.on_endpoint_signal(
+        {limited, core::incarnation{1}, std::nullopt, true, {}, core::runtime_clock::now()}, "id");
+    run_until([this] { return b.context.signals.leaving(limited); });
+}
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -122,6 +122,11 @@
         outcome.reason = "endpoint_gone";
         co_return outcome;
     }
+    if (context_.signals.declines(slot.endpoint(), core::runtime_clock::now())) {
+        outcome.reason = "endpoint_declines";
+        outcome.work = dispatch::work_outcome::abandoned;
+        co_return outcome;
+    }
     if (deadline_ - core::runtime_clock::now() < min_time_left) {
         outcome.reason = "out_of_time";
         outcome.work = dispatch::work_outcome::abandoned;
@@ -310,13 +315,14 @@
 void endpoint_attempt<Dialect>::record_signal(const answer_metadata& metadata,
                                               const directory::endpoint_record& record)
 {
+    std::optional<double> limit = metadata.request_limit;
     if (metadata.request_limit_unreadable) {
         core::counter_for("endpoint_limits_unreadable_total").add();
-        return;
+        limit = context_.signals.request_limit(record.endpoint);
     }
-    context_.on_endpoint_signal(
-        {record.endpoint, record.incarnation, metadata.request_limit, sent_at_},
-        routed_.request.id);
+    context_.on_endpoint_signal({record.endpoint, record.incarnation, limit, metadata.leaving,
+                                 metadata.quiet_time, sent_at_},
+                                routed_.request.id);
 }
 
 template <proxy_dialect Dialect>
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -66,16 +66,39 @@
                                        const std::string& request_id)
 {
     const core::time_point now = core::runtime_clock::now();
-    if (!signals.on_answer(signal, now)) {
-        return;
+    const backpressure::signal_change change = signals.on_answer(signal, now);
+    log_signal_change(signal, change, "request", request_id);
+    if (change.request_limit || change.leaving) {
+        publish_signal(
+            {signal.endpoint, signal.incarnation, signals.request_limit(signal.endpoint),
+             signal.leaving,
+             std::chrono::duration_cast<std::chrono::milliseconds>(now - signal.asked_at)});
+    }
+}
+
+void proxy_context::log_signal_change(const backpressure::endpoint_signal& signal,
+                                      const backpressure::signal_change& change,
+                                      std::string_view source_kind, std::string_view source) const
+{
+    if (change.request_limit) {
+        core::log_event("endpoint_limit")
+            .field("endpoint", signal.endpoint)
+            .field("incarnation", signal.incarnation)
+            .field("per_second", signals.request_limit(signal.endpoint).value_or(0))
+            .field(source_kind, source);
+    }
+    if (change.leaving) {
+        core::log_event("endpoint_leaving")
+            .field("endpoint", signal.endpoint)
+            .field("incarnation", signal.incarnation)
+            .field(source_kind, source);
+    }
+    if (change.quiet_time) {
+        core::log_event("endpoint_quiet")
+            .field("endpoint", signal.endpoint)
+            .field("for_ms", signal.quiet_time->count())
+            .field(source_kind, source);
     }
-    publish_limit({signal.endpoint, signal.incarnation, signal.request_limit,
-                   std::chrono::duration_cast<std::chrono::milliseconds>(now - signal.asked_at)});
-    core::log_event("endpoint_limit")
-        .field("endpoint", signal.endpoint)
-        .field("incarnation", signal.incarnation)
-        .field("per_second", signals.request_limit(signal.endpoint).value_or(0))
-        .field("request", request_id);
 }
 
 void proxy_context::set_process_count(std::size_t processes)
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -61,6 +61,10 @@
     /// Records what an endpoint's answer to this request says about the requests that it accepts.
     void on_endpoint_signal(const backpressure::endpoint_signal& signal,
                             const std::string& request_id);
+    /// Logs what is new in an answer, which a request of this entry or a peer has brought.
+    void log_signal_change(const backpressure::endpoint_signal& signal,
+                           const backpressure::signal_change& change, std::string_view source_kind,
+                           std::string_view source) const;
     /// Sets the number of processes that share the endpoints and the retry allowance, including
     /// this one.
     void set_process_count(std::size_t processes);
@@ -78,9 +82,9 @@
     std::mt19937_64 random;
     core::time_point started_at;
     std::map<core::service_id, std::unique_ptr<service_state>> services;
-    /// Sends an endpoint's changed limit to all peers.
-    std::function<void(const backpressure::reported_limit&)> publish_limit =
-        [](const backpressure::reported_limit&) {
+    /// Sends what an endpoint has said and what concerns all entries to all peers.
+    std::function<void(const backpressure::reported_signal&)> publish_signal =
+        [](const backpressure::reported_signal&) {
         };
     /// Sends a report on parts of prompts to all peers.
     part_guard::publisher publish_part_report = [](const admission::part_report&) {
--- a/src/proxy/proxymessages.h
+++ b/src/proxy/proxymessages.h
@@ -54,6 +54,10 @@
     std::optional<double> request_limit;
     /// The answer names a limit that is no number, so that nothing is known of it.
     bool request_limit_unreadable = false;
+    /// The endpoint leaves and wants no further requests.
+    bool leaving = false;
+    /// Time for which the endpoint wants no requests from this entry.
+    std::optional<std::chrono::milliseconds> quiet_time;
 };
 
 /// A refusal that the proxy itself generates.
--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -52,6 +52,10 @@
         if (const std::optional<std::string> limit = head.header_value("Limit")) {
             metadata.request_limit = std::stod(*limit);
         }
+        metadata.leaving = head.header_value("Leaving").has_value();
+        if (const std::optional<std::string> quiet = head.header_value("Quiet")) {
+            metadata.quiet_time = std::chrono::milliseconds(std::stol(*quiet));
+        }
         return metadata;
     }
     static http::response write_refusal(const proxy::caller_request&, const proxy::refusal& refused)
--- a/src/proxy/tests/tst_limitedendpoints.cpp
+++ b/src/proxy/tests/tst_limitedendpoints.cpp
@@ -36,8 +36,8 @@
 {
     configure_both();
     for (const char* const name : {"a", "b"}) {
-        shared.on_endpoint_signal({core::endpoint_id(name), {}, 0.5, core::runtime_clock::now()},
-                                  "7");
+        shared.on_endpoint_signal(
+            {core::endpoint_id(name), {}, 0.5, false, {}, core::runtime_clock::now()}, "7");
     }
     const core::time_point began = core::runtime_clock::now();
     send_request();
@@ -55,7 +55,8 @@
                                                    std::chrono::milliseconds) {
         shared.signals.on_offer({e, ++asked == 1, 0ms}, core::runtime_clock::now());
     };
-    shared.on_endpoint_signal({core::endpoint_id("b"), {}, 0.5, core::runtime_clock::now()}, "7");
+    shared.on_endpoint_signal(
+        {core::endpoint_id("b"), {}, 0.5, false, {}, core::runtime_clock::now()}, "7");
     a.replies = {{stream_head("7") + events(0, 2), reply::after_reply::reset}};
     b.replies = {{head("7", "Genuine: 1\r\nLimit: 0.5\r\nTransfer-Encoding: chunked\r\n\r\n") +
                   events(3, 4) + "0\r\n\r\n"}};
@@ -63,3 +64,33 @@
     CHECK(ends_with_last_chunk());
     CHECK(!shared.signals.admits(core::endpoint_id("b"), core::runtime_clock::now()));
 }
+
+TEST(limited_endpoints, request_reaches_an_endpoint_that_leaves)
+{
+    configure(routes::retry_policy::idempotent);
+    a.replies = {{full_answer("7", "text", 200, "Genuine: 1\r\nLeaving: 1\r\n")}};
+    b.replies = {{full_answer("7", "text")}, {full_answer("7", "text")}};
+    send_request();
+    answer.clear();
+    // The store still says that it is ready.
+    shared.apply_endpoints();
+    send_request();
+    answer.clear();
+    send_request();
+    LONGS_EQUAL(200, status());
+    LONGS_EQUAL(1, a.received_requests.size());
+}
+
+TEST(limited_endpoints, request_for_endpoints_that_want_none_is_held_or_sent)
+{
+    configure(routes::retry_policy::at_most_once);
+    a.replies = {{full_answer("7", "", 503, "Not-Run: 1\r\nQuiet: 3000\r\n")}};
+    b.replies = {{full_answer("7", "", 503, "Not-Run: 1\r\nQuiet: 3000\r\n")}};
+    send_request();
+    answer.clear();
+    const core::time_point began = core::runtime_clock::now();
+    send_request();
+    LONGS_EQUAL(503, status());
+    CHECK(core::runtime_clock::now() - began < 50ms);
+    LONGS_EQUAL(2, received_requests());
+}
