Let endpoints leave and ask for quiet by their answers in the soak, and check it

signal_checker counts as the users' rules do. Each added kind of fault has a random stream of its own, so that further ones do not change the scripts of seeds.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -24,6 +24,8 @@
 /// objects are written again.
 constexpr std::chrono::milliseconds store_away_time{700};
 constexpr std::chrono::milliseconds rewrite_delay{500};
+/// Time for which endpoints want no requests.
+constexpr std::chrono::milliseconds quiet_time{1500};
 /// Requests per second that endpoints say they accept.
 constexpr std::array<double, 4> request_limits{0.5, 1.0, 2.0, 5.0};
 constexpr const char* unsolicited_response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nspam";
@@ -91,6 +93,16 @@
     else if (f.kind == kind::endpoint_limited) {
         co_await limit_endpoint(f);
     }
+    else if (f.kind == kind::endpoint_says_it_leaves) {
+        co_await let_endpoint_leave(f);
+    }
+    else if (f.kind == kind::endpoint_wants_quiet) {
+        const disturbance_scope scope(site_.checker(), disturbance_target::endpoints, 0);
+        endpoint_faults& faults = pick_endpoint(f.target).server->faults;
+        faults.quiet_time = quiet_time;
+        co_await core::sleep_for(f.duration);
+        faults.quiet_time = {};
+    }
     else if (f.kind == kind::store_restored) {
         co_await restore_store(f);
     }
@@ -257,9 +269,12 @@
     faults.full = f.kind == fault_kind::endpoint_full;
     faults.slowness = f.kind == fault_kind::endpoint_slow ? slow_endpoint_factor : 1;
     co_await core::sleep_for(f.duration);
-    const std::optional<double> request_limit = faults.request_limit;
-    faults = {};
-    faults.request_limit = request_limit;
+    // What the endpoint says of itself ends with its own fault.
+    endpoint_faults kept;
+    kept.request_limit = faults.request_limit;
+    kept.leaving = faults.leaving;
+    kept.quiet_time = faults.quiet_time;
+    faults = kept;
 }
 
 core::task<void> fault_injector::limit_endpoint(planned_fault f)
@@ -277,6 +292,20 @@
     }
 }
 
+core::task<void> fault_injector::let_endpoint_leave(planned_fault f)
+{
+    // The store still says that it is ready.
+    soak_site::endpoint& e = pick_plain_endpoint(f.target);
+    const std::uint64_t incarnation = e.incarnation;
+    site_.checker().on_endpoint_word_of_leaving(e.server->options().endpoint,
+                                                core::runtime_clock::now());
+    e.server->faults.leaving = true;
+    co_await core::sleep_for(f.duration);
+    if (e.incarnation == incarnation) {
+        site_.restart_endpoint(e);
+    }
+}
+
 core::task<void> fault_injector::drain_endpoint(soak_site::endpoint& e)
 {
     const std::uint64_t incarnation = e.incarnation;
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -26,6 +26,7 @@
     void change_configuration(planned_fault f);
     core::task<void> stop_gateway(std::size_t i);
     core::task<void> limit_endpoint(planned_fault f);
+    core::task<void> let_endpoint_leave(planned_fault f);
     core::task<void> restore_store(planned_fault f);
     core::task<void> drain_endpoint(soak_site::endpoint& e);
     core::task<void> crash_endpoint(soak_site::endpoint& e, std::chrono::milliseconds duration);
--- a/tests/soak/faultscript.cpp
+++ b/tests/soak/faultscript.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t fault_kind_count = static_cast<std::size_t>(fault_kind::last) + 1;
 constexpr std::size_t first_added_kind = static_cast<std::size_t>(fault_kind::first_added);
+/// Distance between the seeds of the streams of two added kinds.
+constexpr std::uint64_t added_stream_distance = 1'000'003;
 /// Probability that a fault is repeated soon after, with the same target.
 constexpr double repeat_probability = 0.25;
 constexpr std::chrono::milliseconds min_duration{200};
@@ -57,7 +59,9 @@
                                                                           "configuration_changes",
                                                                           "key_revoked",
                                                                           "endpoint_limited",
-                                                                          "store_restored"};
+                                                                          "store_restored",
+                                                                          "endpoint_says_it_leaves",
+                                                                          "endpoint_wants_quiet"};
 
 } // namespace
 
@@ -112,10 +116,11 @@
 {
     std::vector<planned_fault> script;
     add_faults(script, {0, first_added_kind, mean_fault_interval, max_duration}, seed, length);
-    add_faults(script,
-               {first_added_kind, fault_kind_count - first_added_kind, mean_added_fault_interval,
-                max_added_duration},
-               ~seed, length);
+    for (std::size_t kind = first_added_kind; kind < fault_kind_count; ++kind) {
+        // Each has a stream of its own, so that further kinds do not change the script either.
+        const fault_class added{kind, 1, mean_added_fault_interval, max_added_duration};
+        add_faults(script, added, seed + kind * added_stream_distance, length);
+    }
     // Faults end with the script at the latest.
     std::erase_if(script,
                   [length](const planned_fault& f) { return f.at + min_duration > length; });
--- a/tests/soak/faultscript.h
+++ b/tests/soak/faultscript.h
@@ -49,7 +49,9 @@
     first_added,
     endpoint_limited = first_added,
     store_restored,
-    last = store_restored,
+    endpoint_says_it_leaves,
+    endpoint_wants_quiet,
+    last = endpoint_wants_quiet,
 };
 std::string_view to_string(fault_kind k);
 
--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -52,7 +52,7 @@
 void guarantee_checker::on_gateway_start(std::size_t gateway)
 {
     newest_used_.erase(gateway);
-    endpoint_limits_.on_gateway_start(gateway);
+    endpoint_signals_.on_gateway_start(gateway);
 }
 
 void guarantee_checker::on_disturbance_start(disturbance_target target, std::size_t index,
@@ -130,11 +130,15 @@
     call_state& s = found->second;
     s.arrivals.push_back(a);
     if (gateway_undisturbed(s.call.gateway, a.at, a.at)) {
-        const std::string exceeded = endpoint_limits_.on_arrival(s.call.gateway, a.endpoint, a.at);
-        if (!exceeded.empty()) {
-            add_finding("limit", a.request, a.endpoint.str() + " " + exceeded);
+        const std::string finding =
+            endpoint_signals_.on_arrival(s.call.gateway, a.endpoint, s.call.at, a.at);
+        if (!finding.empty()) {
+            add_finding("endpoint-signal", a.request, a.endpoint.str() + " " + finding);
         }
     }
+    if (a.quiet_time.count() > 0) {
+        endpoint_signals_.on_quiet(s.call.gateway, a.endpoint, a.quiet_time, a.at);
+    }
     if (a.runs) {
         check_run(s, a);
     }
@@ -231,7 +235,7 @@
     if (result.outcome == call_result::outcome_kind::answered) {
         if (result.signature && !s.arrivals.empty()) {
             const arrival& last = s.arrivals.back();
-            endpoint_limits_.on_answer(s.call.gateway, last.endpoint, last.at, result.at);
+            endpoint_signals_.on_answer(s.call.gateway, last.endpoint, last.at, result.at);
         }
         check_answer(s, result);
     }
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/runtimeclock.h"
-#include "soak/limitchecker.h"
+#include "soak/signalchecker.h"
 #include "soak/soakconstants.h"
 #include "standins/standincaller.h"
 #include "standins/standinendpoint.h"
@@ -61,9 +61,14 @@
     /// Reports that an endpoint names a limit of requests per second, or none any more.
     void on_endpoint_limit(const core::endpoint_id& e, double per_second, core::time_point at)
     {
-        endpoint_limits_.on_limit(e, per_second, at);
+        endpoint_signals_.on_limit(e, per_second, at);
+    }
+    void on_endpoint_limit_end(const core::endpoint_id& e) { endpoint_signals_.on_limit_end(e); }
+    /// Reports that an endpoint says in its answers that it leaves.
+    void on_endpoint_word_of_leaving(const core::endpoint_id& e, core::time_point at)
+    {
+        endpoint_signals_.on_leaving(e, at);
     }
-    void on_endpoint_limit_end(const core::endpoint_id& e) { endpoint_limits_.on_limit_end(e); }
     /// Reports that a part of a prompt crashed an endpoint.
     void on_part_crash(core::time_point at) { part_crashes_.push_back(at); }
     /// Reports that a gateway process was started or restarted.
@@ -138,7 +143,7 @@
     void check_crashing_request(const call_state& s, const arrival& a);
 
     guarantee_limits limits_;
-    limit_checker endpoint_limits_;
+    signal_checker endpoint_signals_;
     std::vector<configuration> configurations_;
     std::map<core::endpoint_id, core::time_point> leaving_;
     std::vector<disturbance> disturbances_;
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -49,8 +49,8 @@
 inline constexpr std::chrono::milliseconds final_fault_free_time{4000};
 /// Mean time between the starts of two faults. Several faults are usually active at once.
 inline constexpr std::chrono::milliseconds mean_fault_interval{900};
-/// The same for the kinds that are added to the faults of a seed.
-inline constexpr std::chrono::milliseconds mean_added_fault_interval{4000};
+/// The same for each kind that is added to the faults of a seed.
+inline constexpr std::chrono::milliseconds mean_added_fault_interval{10000};
 /// Mean pause of a caller between two requests.
 inline constexpr std::chrono::milliseconds mean_caller_pause{220};
 /// Ports of the site. Each process has a loopback address of its own.
--- a/tests/soak/tst_guaranteechecker.cpp
+++ b/tests/soak/tst_guaranteechecker.cpp
@@ -350,9 +350,9 @@
     CHECK(!checker.was_disturbed(0, t0, t0 + 5s));
 }
 
-TEST_GROUP(limit_checkers)
+TEST_GROUP(signal_checkers)
 {
-    limit_checker checker;
+    signal_checker checker;
     const core::endpoint_id e{"e-1"};
     core::time_point t0{1h};
 
@@ -365,13 +365,13 @@
     {
         std::string finding;
         for (int i = 0; i < 12; ++i) {
-            finding += checker.on_arrival(gateway, e, t0 + after + i * 10ms);
+            finding += checker.on_arrival(gateway, e, t0 + after, t0 + after + i * 10ms);
         }
         return finding;
     }
 };
 
-TEST(limit_checkers, requests_above_the_limit_are_found_once)
+TEST(signal_checkers, requests_above_the_limit_are_found_once)
 {
     checker.on_answer(0, e, t0, t0 + 1s);
     CHECK(exceed(0, 1s).empty());
@@ -379,7 +379,7 @@
     CHECK(exceed(0, 10s).empty());
 }
 
-TEST(limit_checkers, gateways_that_were_not_told_do_not_count)
+TEST(signal_checkers, gateways_that_were_not_told_do_not_count)
 {
     checker.on_answer(0, e, t0 - 1ms, t0 + 1s);
     CHECK(exceed(0, 5s).empty());
@@ -388,12 +388,34 @@
     CHECK(exceed(0, 10s).empty());
 }
 
-TEST(limit_checkers, limit_is_kept_until_it_ends)
+TEST(signal_checkers, limit_is_kept_until_it_ends)
 {
     checker.on_answer(0, e, t0, t0 + 1s);
     for (int i = 0; i < 20; ++i) {
-        CHECK(checker.on_arrival(0, e, t0 + 4s + i * 400ms).empty());
+        CHECK(checker.on_arrival(0, e, t0 + 4s, t0 + 4s + i * 400ms).empty());
     }
     checker.on_limit_end(e);
     CHECK(exceed(0, 20s).empty());
 }
+
+TEST(signal_checkers, requests_after_an_endpoint_has_said_that_it_leaves_are_found)
+{
+    checker.on_leaving(e, t0);
+    CHECK(checker.on_arrival(0, e, t0 + 5s, t0 + 5s).empty());
+    checker.on_answer(0, e, t0 + 5s, t0 + 5s);
+    CHECK(checker.on_arrival(0, e, t0 + 7s, t0 + 8s).empty());
+    CHECK(!checker.on_arrival(0, e, t0 + 7s + 1ms, t0 + 8s).empty());
+}
+
+TEST(signal_checkers, requests_while_an_endpoint_wants_none_are_found)
+{
+    checker.on_quiet(0, e, 2s, t0);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(checker.on_arrival(0, e, t0, t0 + 400ms).empty());
+        CHECK(checker.on_arrival(1, e, t0, t0 + 1s).empty());
+    }
+    CHECK(checker.on_arrival(0, e, t0, t0 + 500ms).empty());
+    CHECK(checker.on_arrival(0, e, t0, t0 + 1s).empty());
+    CHECK(!checker.on_arrival(0, e, t0, t0 + 1999ms).empty());
+    CHECK(checker.on_arrival(0, e, t0, t0 + 2s).empty());
+}
