--- a/src/gateway/tests/tst_signalexchange.cpp
+++ b/src/gateway/tests/tst_signalexchange.cpp
@@ -1,12 +1,12 @@
+#include "hubprocess.h"
+
 #include "core/eventlog.h"
 #include "core/timer.h"
 #include "gateway/signalexchange.h"
 #include "wire/packer.h"
-#include "wire/unpacker.h"
-
-#include "CppUTest/TestHarness.h"
 
 using namespace currantpitch;
+using namespace currantpitch::testing;
 using namespace std::chrono_literals;
 namespace asio = core::asio;
 
@@ -20,23 +20,16 @@
 struct entry_process {
     entry_process(asio::io_context& io, const std::string& name)
         : context(io.get_executor(), core::failure_domain_id("fd"), proxy::proxy_bounds{}, 1),
-          hub(std::make_shared<membership::peer_hub>(
-              io.get_executor(),
-              membership::peer_hello{core::host_id(name), core::failure_domain_id("fd"),
-                                     core::incarnation{1}})),
-          exchange(core::host_id(name), context, *hub),
-          acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+          process(io, name), exchange(core::host_id(name), context, *process.hub)
     {
-        hub->on_peer_up = [this](const membership::peer_hello& h) {
+        process.hub->on_peer_up = [this](const membership::peer_hello& h) {
             exchange.on_peer_up(h.host);
         };
-        hub->on_peer_down = [this](const membership::peer_hello& h) {
+        process.hub->on_peer_down = [this](const membership::peer_hello& h) {
             exchange.on_peer_down(h.host);
         };
-        hub->on_heartbeat = [](const membership::peer_hello&, const membership::peer_heartbeat&) {
-        };
-        hub->on_message = [this](const core::host_id& peer, std::uint8_t type,
-                                 const std::string& payload) {
+        process.hub->on_message = [this](const core::host_id& peer, std::uint8_t type,
+                                         const std::string& payload) {
             CHECK(exchange.on_message(peer, type, payload));
         };
         exchange.set_registered({core::host_id("a"), core::host_id("b")});
@@ -50,17 +43,6 @@
             context.endpoints.apply(record);
         }
         context.apply_endpoints();
-        core::spawn(io.get_executor(), accept());
-    }
-    core::task<void> accept()
-    {
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
-        std::shared_ptr<wire::framed_connection> connection =
-            std::make_shared<wire::framed_connection>(std::move(socket));
-        const core::result<std::string> frame = co_await connection->receive();
-        const core::result<membership::peer_hello> hello =
-            wire::decode<membership::peer_hello>(frame.value());
-        co_await hub->serve(connection, hello.value());
     }
     /// Passes on an answer of the limited endpoint.
     void answer(std::optional<double> limit)
@@ -82,9 +64,8 @@
 
     int sent = 0;
     proxy::proxy_context context;
-    std::shared_ptr<membership::peer_hub> hub;
+    hub_process process;
     gateway::signal_exchange exchange;
-    asio::ip::tcp::acceptor acceptor;
 };
 
 } // namespace
@@ -99,17 +80,9 @@
     {
         core::silence_log();
     }
-    void connect()
-    {
-        a.hub->set_targets({{core::host_id("b"), b.acceptor.local_endpoint()}});
-        run_until([this] { return !a.hub->connected().empty() && !b.hub->connected().empty(); });
-    }
-    void run_until(const std::function<bool()>& reached)
+    void connect_both()
     {
-        for (int i = 0; i < 1000 && !reached(); ++i) {
-            run_for(5ms);
-        }
-        CHECK(reached());
+        connect(io, a.process, b.process, core::host_id("b"));
     }
     void run_for(std::chrono::milliseconds time)
     {
@@ -120,28 +93,28 @@
 
 TEST(signal_exchanges, limit_is_known_at_a_connected_peer_until_it_ends)
 {
-    connect();
+    connect_both();
     a.answer(2);
-    run_until([this] { return b.knows_limit(); });
+    run_until(io, [this] { return b.knows_limit(); });
     run_for(5ms);
     b.answer(std::nullopt);
     CHECK(!b.knows_limit());
-    run_until([this] { return !a.knows_limit(); });
+    run_until(io, [this] { return !a.knows_limit(); });
 }
 
 TEST(signal_exchanges, limit_is_told_to_a_peer_that_connects_later)
 {
     a.answer(2);
-    connect();
-    run_until([this] { return b.knows_limit(); });
+    connect_both();
+    run_until(io, [this] { return b.knows_limit(); });
 }
 
 // Every entry sent a limited endpoint as many requests as the other endpoints.
 TEST(signal_exchanges, entries_send_a_limited_endpoint_more_than_its_limit_together)
 {
-    connect();
+    connect_both();
     a.answer(10);
-    run_until([this] { return b.knows_limit(); });
+    run_until(io, [this] { return b.knows_limit(); });
     const core::time_point began = core::runtime_clock::now();
     while (core::runtime_clock::now() - began < 2s) {
         core::spawn(io.get_executor(), a.send_request());
@@ -172,8 +145,8 @@
 
 TEST(signal_exchanges, endpoint_that_leaves_gets_requests_of_other_entries)
 {
-    connect();
+    connect_both();
     a.context.on_endpoint_signal(
         {limited, core::incarnation{1}, std::nullopt, true, {}, core::runtime_clock::now()}, "id");
-    run_until([this] { return b.context.signals.leaving(limited); });
+    run_until(io, [this] { return b.context.signals.leaving(limited); });
 }
