--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -69,7 +69,7 @@
     entry_roster roster_;
     std::shared_ptr<membership::peer_hub> hub_;
     part_report_exchange part_reports_;
-    signal_exchange limits_;
+    signal_exchange endpoint_signals_;
     typename Site::store store_;
     configuration_sink<Site> configuration_sink_;
     configuration_exchange<configuration_sink<Site>> configurations_;
@@ -109,7 +109,7 @@
       hub_(std::make_shared<membership::peer_hub>(
           executor,
           membership::peer_hello{settings_.host, settings_.failure_domain, incarnation_})),
-      part_reports_(context_, *hub_), limits_(settings_.host, context_, *hub_),
+      part_reports_(context_, *hub_), endpoint_signals_(settings_.host, context_, *hub_),
       store_(executor, settings_.store_address),
       configuration_sink_(context_, [this] { context_.apply_endpoints(); }),
       configurations_(configuration_sink_, *hub_), endpoint_sink_(context_),
@@ -131,13 +131,13 @@
     hub_->on_peer_up = [this](const membership::peer_hello& h) {
         core::log_event("peer_up").field("peer", h.host).field("incarnation", h.incarnation);
         part_reports_.on_peer_up(h.host);
-        limits_.on_peer_up(h.host);
+        endpoint_signals_.on_peer_up(h.host);
         configurations_.on_peer_up(h.host);
     };
     hub_->on_peer_down = [this](const membership::peer_hello& h) {
         core::log_event("peer_down").field("peer", h.host).field("incarnation", h.incarnation);
         roster_.on_peer_down(h.host);
-        limits_.on_peer_down(h.host);
+        endpoint_signals_.on_peer_down(h.host);
     };
     configuration_sink_.on_listed = [this] {
         configurations_.on_listing();
@@ -242,7 +242,7 @@
 {
     hub_->set_targets(roster_.dial_targets());
     context_.set_process_count(std::max<std::size_t>(roster_.registered_count(), 1));
-    limits_.set_registered(roster_.registered());
+    endpoint_signals_.set_registered(roster_.registered());
 }
 
 template <site_platform Site>
@@ -253,7 +253,7 @@
         part_reports_.on_report(peer, payload);
         return;
     }
-    if (limits_.on_message(peer, type, payload) ||
+    if (endpoint_signals_.on_message(peer, type, payload) ||
         configurations_.on_message(peer, type, payload)) {
         return;
     }
