--- a/src/core/jsonscan.h
+++ b/src/core/jsonscan.h
@@ -7,8 +7,8 @@
 namespace currantpitch::core {
 
 /// Finds the values of one level of a JSON text without parsing them, so that a value that a parser
-/// rejects does not make the others unreadable. The depth of the text is not limited. The values are
-/// not validated: brackets are counted, whatever their kind.
+/// rejects does not make the others unreadable. The depth of the text is not limited. The values
+/// are not validated: brackets are counted, whatever their kind.
 
 /// Returns the text of a member's value, or nullopt if the text is not an object with this member.
 /// Names with escape sequences are not found.
--- a/tests/fakes/memorystore.h
+++ b/tests/fakes/memorystore.h
@@ -56,8 +56,8 @@
     /// Number of calls so far by cause. A watch counts once, when it opens.
     std::map<std::string, std::uint64_t> calls;
 
-    /// Comes back from the copy of that revision: later writes are lost, and their revisions are given
-    /// out again in a new era.
+    /// Comes back from the copy of that revision: later writes are lost, and their revisions are
+    /// given out again in a new era.
     void restore(core::revision copy);
     /// Returns all changes in the order of their revisions.
     const std::deque<objectstore::object>& history() const { return history_; }
