--- a/tests/support/testmain.cpp
+++ b/tests/support/testmain.cpp
@@ -12,6 +12,8 @@
     // Coroutine frames and libraries keep memory after a test ends, which the leak detection would
     // report.
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    currantpitch::core::silence_log();
+    if (std::getenv("TEST_LOG") == nullptr) {
+        currantpitch::core::silence_log();
+    }
     return CommandLineTestRunner::RunAllTests(argc, argv);
 }
