Stop an order to the engine when its leader's term ends

Cause: an order whose engine did not answer was sent again for up to 1.95 s, and the term was looked at only before the first attempt (orders of other hosts) or after the last one (orders of the leader to its own engine). A leader that had stood still while its group was arming woke, withdrew the switch by a time-out, ordered its own engine to disarm and learned of a later term. It claimed the next one and settled by the state polled before, in which its rank was armed; the order of the old term disarmed the rank, and the step was released. Change: the term is checked before each attempt, by the same code for all orders. A status says which term was promised before its state was read, and a leader counts only states read under its own term. The log of an order has its term and its attempts, which tells an order of an ended term from one of the new term.

--- a/src/rankcontrol/agentcontext.h
+++ b/src/rankcontrol/agentcontext.h
@@ -52,6 +52,12 @@
         group_changed.notify();
     }
     group_key own_group() const { return {settings.service, group}; }
+    /// Whether an order may be sent to the engine now. An order takes up to some seconds, and the
+    /// promised term can change meanwhile.
+    bool obeys(const order_origin& origin) const
+    {
+        return fence_known && origin.group == group && origin.term == promised;
+    }
 
     core::asio::any_io_executor executor;
     settings::node_settings settings;
--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -51,7 +51,7 @@
     /// Version of a layout that the member has or probably has; empty if there is none.
     std::optional<core::map_version> base_for(const session& s) const;
     void on_layout_answer(session& s, const rank_answer& answer);
-    core::task<void> execute_locally(addressed_order order);
+    core::task<void> execute_locally(addressed_order order, order_origin origin);
 
     agent_context& context_;
     Store& store_;
@@ -318,7 +318,9 @@
     std::uint64_t hash = 0;
     for (addressed_order& o : orders) {
         if (engine_.state() && o.rank == engine_.state()->rank) {
-            core::spawn_contained(context_.executor, "engine_order", execute_locally(std::move(o)));
+            core::spawn_contained(
+                context_.executor, "engine_order",
+                execute_locally(std::move(o), {context_.group, leader_->own_term()}));
             continue;
         }
         for (const std::shared_ptr<session>& s : sessions_) {
@@ -374,11 +376,11 @@
 }
 
 template <class Store, rank_port Port>
-core::task<void> candidate_side<Store, Port>::execute_locally(addressed_order order)
+core::task<void> candidate_side<Store, Port>::execute_locally(addressed_order order,
+                                                              order_origin origin)
 {
-    const term order_term = leader_ ? leader_->own_term() : term{};
-    const executed_order executed = co_await engine_.execute(std::move(order.order));
-    if (!leader_ || leader_->own_term() != order_term || context_.promised != order_term ||
+    const executed_order executed = co_await engine_.execute(std::move(order.order), origin);
+    if (!leader_ || leader_->own_term() != origin.term || !context_.obeys(origin) ||
         !engine_.state()) {
         co_return;
     }
--- a/src/rankcontrol/enginemonitor.h
+++ b/src/rankcontrol/enginemonitor.h
@@ -17,7 +17,8 @@
     }
 
     core::task<void> run();
-    core::task<executed_order> execute(engine_order order);
+    /// Executes the order while its leadership is obeyed.
+    core::task<executed_order> execute(engine_order order, order_origin origin);
 
     /// The engine's state at the last poll; empty until it has answered once.
     const std::optional<rank_state>& state() const { return state_; }
@@ -51,6 +52,8 @@
     rank_executor<Port> engine_;
     core::notifier state_updated_;
     std::optional<rank_state> state_;
+    /// Term that was promised before state_ was read.
+    term state_read_under_;
     bool state_unreadable_ = false;
     /// Epoch and version of the active layout, and the time at which it was first seen.
     std::pair<group_epoch, core::map_version> active_layout_id_;
@@ -72,10 +75,13 @@
 core::task<void> engine_monitor<Port>::run()
 {
     while (!context_.stopping) {
+        // Orders of earlier terms have ended when the call begins, as calls follow one another.
+        const term promised = context_.promised;
         const core::result<rank_state> state = co_await engine_.state();
         log_unreadable(state);
         if (state) {
             state_ = state.value();
+            state_read_under_ = promised;
             if (state_->group != context_.group) {
                 context_.join(state_->group);
             }
@@ -192,15 +198,17 @@
 }
 
 template <rank_port Port>
-core::task<executed_order> engine_monitor<Port>::execute(engine_order order)
+core::task<executed_order> engine_monitor<Port>::execute(engine_order order, order_origin origin)
 {
     const bool load = order.kind == order_kind::load;
     if (load) {
         loading_until_ = core::runtime_clock::now() + load_timeout;
     }
-    executed_order done = co_await engine_.execute(std::move(order));
+    executed_order done = co_await engine_.execute(
+        std::move(order), origin, [this](const order_origin& o) { return context_.obeys(o); });
     if (done.state) {
         state_ = done.state;
+        state_read_under_ = origin.term;
     }
     if (load) {
         state_updated_.notify();
@@ -229,6 +237,7 @@
 {
     rank_status s;
     s.promised = context_.promised;
+    s.read_under = state_read_under_;
     s.state = *state_;
     return s;
 }
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -32,6 +32,10 @@
         core::counter_for("demand_reports_ignored_total").add();
     }
     record_held_experts(status);
+    if (status.read_under != own_term_) {
+        // An order of an earlier term may have been executed after the state was read.
+        return;
+    }
     const switch_phase before = switch_.phase();
     switch_.on_state(status.state, now);
     update_layout();
@@ -40,7 +44,7 @@
 
 void group_leader::on_answer(std::uint32_t rank, const rank_answer& answer, core::time_point now)
 {
-    if (answer.status.promised != own_term_) {
+    if (answer.status.read_under != own_term_) {
         on_status(answer.status, now);
         return;
     }
--- a/src/rankcontrol/memberside.h
+++ b/src/rankcontrol/memberside.h
@@ -212,10 +212,11 @@
             .field("own_group", context_.group)
             .field("term", order.term);
     }
-    if (own_group && order.term == context_.promised && context_.fence_known) {
+    const order_origin origin{order.group, order.term};
+    if (context_.obeys(origin)) {
         const bool decoded = order.order.kind != order_kind::load || decode_layout(order);
         if (decoded) {
-            const executed_order done = co_await engine_.execute(std::move(order.order));
+            const executed_order done = co_await engine_.execute(std::move(order.order), origin);
             answer.result = done.result;
         }
     }
--- a/src/rankcontrol/rankexecutor.h
+++ b/src/rankcontrol/rankexecutor.h
@@ -6,6 +6,8 @@
 #include "rankcontrol/rankcontrolconstants.h"
 #include "rankcontrol/rankport.h"
 
+#include <concepts>
+
 namespace currantpitch::rankcontrol {
 
 /// Result of an order and the engine's state after it; empty where the engine did not answer.
@@ -27,9 +29,10 @@
     core::task<core::result<cumulative_selection_counts>> selection_counts(std::size_t layers);
     core::task<core::result<std::vector<std::vector<expert>>>> held_experts();
     /// Executes an order that the engine may not answer. The order is sent again, up to
-    /// max_order_attempts times, until the engine answers it or its state shows the result. An
-    /// unanswered order that is executed late does no harm, because the same order was sent again.
-    core::task<executed_order> execute(engine_order order);
+    /// max_order_attempts times, until the engine answers it or its state shows the result, but
+    /// only while obeys(origin) holds. An attempt that was not answered may be executed later.
+    template <std::predicate<const order_origin&> Obeys>
+    core::task<executed_order> execute(engine_order order, order_origin origin, Obeys obeys);
 
 private:
     class call_guard {
@@ -92,13 +95,22 @@
 }
 
 template <rank_port Port>
-core::task<executed_order> rank_executor<Port>::execute(engine_order order)
+template <std::predicate<const order_origin&> Obeys>
+core::task<executed_order> rank_executor<Port>::execute(engine_order order, order_origin origin,
+                                                        Obeys obeys)
 {
     co_await wait_until_free();
     const call_guard guard(*this);
     executed_order executed;
     bool unanswered = false;
-    for (int i = 0; i < max_order_attempts && !executed.result; ++i) {
+    bool withdrawn = false;
+    int attempts = 0;
+    while (attempts < max_order_attempts && !executed.result) {
+        withdrawn = !obeys(origin);
+        if (withdrawn) {
+            break;
+        }
+        ++attempts;
         const core::result<order_result> answer = co_await port_.order(order, call_deadline());
         if (answer && answer.value() != order_result::refused) {
             executed.result = answer.value();
@@ -119,16 +131,19 @@
             core::counter_for("engine_orders_unanswered_total").add();
         }
     }
-    const core::result<rank_state> after = co_await port_.state(call_deadline());
-    if (after) {
-        executed.state = after.value();
+    if (attempts > 0) {
+        const core::result<rank_state> after = co_await port_.state(call_deadline());
+        executed.state = after ? std::optional<rank_state>(after.value()) : std::nullopt;
     }
     core::log_event("engine_order")
         .field("order", to_string(order.kind))
+        .field("term", origin.term)
         .field("epoch", order.epoch)
         .field("version", order.version)
         .field("step", order.step)
-        .field("result", !executed.result                             ? "unknown"
+        .field("attempts", attempts)
+        .field("result", withdrawn                                    ? "withdrawn"
+                         : !executed.result                           ? "unknown"
                          : *executed.result == order_result::accepted ? "accepted"
                          : *executed.result == order_result::already  ? "already"
                                                                       : "refused")
--- a/src/rankcontrol/rankmessages.h
+++ b/src/rankcontrol/rankmessages.h
@@ -59,6 +59,9 @@
 struct rank_status {
     static constexpr std::uint8_t type = rank_status_type;
     term promised;
+    /// Term that was promised before the state was read. Until it equals the promised one, an order
+    /// of an earlier term may have been executed since.
+    term read_under;
     rank_state state;
     /// Number of times that the rank's requests chose each expert between the engine's last two
     /// polls, by layer; empty in most statuses.
@@ -69,7 +72,7 @@
 template <class Archive>
 void describe(Archive& archive, rank_status& m)
 {
-    archive(m.promised, m.state, m.selection_counts, m.held_experts);
+    archive(m.promised, m.read_under, m.state, m.selection_counts, m.held_experts);
 }
 
 /// Order of a leader to the engine of a member.
--- a/src/rankcontrol/rankstate.h
+++ b/src/rankcontrol/rankstate.h
@@ -117,6 +117,12 @@
     last = refused,
 };
 
+/// The leadership that an order belongs to.
+struct order_origin {
+    core::group_id group;
+    rankcontrol::term term;
+};
+
 /// Whether the engine is in the state that the order requests.
 bool fulfilled(const engine_order& order, const rank_state& state);
 
--- a/src/rankcontrol/tests/tst_groupleader.cpp
+++ b/src/rankcontrol/tests/tst_groupleader.cpp
@@ -23,6 +23,7 @@
     {
         rank_status s;
         s.promised = term{1};
+        s.read_under = term{1};
         s.state.rank = rank;
         s.state.group_size = 4;
         s.state.epoch = group_epoch{1};
@@ -53,6 +54,28 @@
     }
 };
 
+// A leader counted a rank as armed by a state from before its term, while an order of the earlier
+// term disarmed the rank.
+TEST(group_leaders, state_from_before_the_promise_does_not_count)
+{
+    for (std::uint32_t rank = 0; rank < 4; ++rank) {
+        rank_status s = status(rank);
+        s.read_under = term{};
+        leader.on_status(s, now);
+    }
+    CHECK(leader.progress().phase() == switch_phase::settling);
+    CHECK(!leader.active_version().has_value());
+    // The lists that came with these states are not sent again.
+    for (std::uint32_t rank = 0; rank < 4; ++rank) {
+        rank_status s = status(rank);
+        s.held_experts.clear();
+        leader.on_status(s, now);
+    }
+    CHECK(leader.active_version().has_value());
+    leader.tick(now);
+    CHECK(leader.progress().phase() == switch_phase::idle);
+}
+
 TEST(group_leaders, switches_for_a_small_gain_while_steps_are_slow)
 {
     CHECK(begins_switch(140ms));
