Let a successor withdraw a switch behind a hold of its own

Cause: an order that got no answer may be executed seconds later. A successor that found all ranks armed released the step. If its predecessor had decided to withdraw the switch, a disarm order could still be executed between; if it had decided to release, a release order could still be executed while the successor withdraws. The states of the engines do not tell one from the other. Likewise a step could be held again for the next switch while an order to release it was still to be executed. Change: a successor that finds a held step first holds it on another engine, then withdraws the switch. The engine that holds changes with the term, and no step is held twice.

--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -292,8 +292,8 @@
     }
     context_.promise(own, "self");
     context_.leader = context_.settings.peer_address;
-    leader_ = std::make_unique<group_leader>(own, context_.own_group(), engine_.state()->rank,
-                                             shape, costs, context_.target_gap);
+    leader_ = std::make_unique<group_leader>(own, context_.own_group(), shape, costs,
+                                             context_.target_gap);
     core::counter_for("group_leaderships_total").add();
     for (const std::shared_ptr<session>& s : sessions_) {
         s->connection->send(wire::encode(leader_claim{context_.group, own}));
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -7,11 +7,11 @@
 
 namespace currantpitch::rankcontrol {
 
-group_leader::group_leader(term own, group_key group, std::uint32_t own_rank,
-                           const layout_shape& shape, planner_costs costs,
-                           core::duration step_time_target)
+group_leader::group_leader(term own, group_key group, const layout_shape& shape,
+                           planner_costs costs, core::duration step_time_target)
     : own_term_(own), group_(std::move(group)), shape_(shape), costs_(costs),
-      switch_(own, shape.ranks, own_rank), demand_(shape), step_time_target_(step_time_target)
+      switch_(own, shape.ranks, static_cast<std::uint32_t>(own.value % shape.ranks)),
+      demand_(shape), step_time_target_(step_time_target)
 {
 }
 
--- a/src/rankcontrol/groupleader.h
+++ b/src/rankcontrol/groupleader.h
@@ -30,8 +30,8 @@
 class group_leader {
 public:
     /// step_time_target is the longest time between two steps that is still on time for callers.
-    group_leader(term own, group_key group, std::uint32_t own_rank, const layout_shape& shape,
-                 planner_costs costs, core::duration step_time_target);
+    group_leader(term own, group_key group, const layout_shape& shape, planner_costs costs,
+                 core::duration step_time_target);
 
     void on_status(const rank_status& status, core::time_point now);
     void on_answer(std::uint32_t rank, const rank_answer& answer, core::time_point now);
--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -11,6 +11,8 @@
     switch (p) {
     case switch_phase::settling:
         return "settling";
+    case switch_phase::securing:
+        return "securing";
     case switch_phase::idle:
         return "idle";
     case switch_phase::loading:
@@ -95,15 +97,6 @@
                        [](const rank_view& v) { return v.accepted_load && !v.state->armed; });
 }
 
-std::optional<armed_layout> layout_switch::common_armed() const
-{
-    const std::optional<armed_layout> first = ranks_.front().state->armed;
-    const bool common = std::all_of(ranks_.begin(), ranks_.end(), [&first](const rank_view& v) {
-        return v.state->armed == first;
-    });
-    return common ? first : std::nullopt;
-}
-
 std::uint64_t layout_switch::lead_steps() const
 {
     if (step_time_ <= core::duration{}) {
@@ -112,6 +105,11 @@
     return min_lead_steps + static_cast<std::uint64_t>(expected_arming_time_ / step_time_);
 }
 
+core::step_number layout_switch::choose_step() const
+{
+    return std::max(core::step_number{newest_step().value + lead_steps()}, last_held_step_.next());
+}
+
 void layout_switch::enter(switch_phase p, core::time_point now)
 {
     const bool was_under_way = phase_ == switch_phase::arming ||
@@ -140,6 +138,7 @@
     if (epoch_ && state.epoch.value > epoch_->value) {
         // The group was rebuilt, so nothing is armed, held or loaded any more.
         epoch_.reset();
+        last_held_step_ = core::step_number{};
         running_version_ = core::map_version{};
         for (rank_view& v : ranks_) {
             v.outstanding.reset();
@@ -234,24 +233,45 @@
     }
     epoch_ = ranks_.front().state->epoch;
     running_version_ = ranks_.front().state->active;
-    if (!any_held()) {
-        // An earlier leader held the step of its switch until all engines were armed or none could
-        // be armed any more. A layout that is armed without a hold is therefore armed on all
-        // engines and about to become active.
-        if (!any_armed()) {
-            enter(switch_phase::idle, now);
+    if (any_held()) {
+        secure(now);
+    }
+    else if (!any_armed()) {
+        enter(switch_phase::idle, now);
+    }
+    // Otherwise the layout is armed on all engines and about to become active: earlier leaders held
+    // its step until then.
+}
+
+void layout_switch::secure(core::time_point now)
+{
+    std::optional<core::step_number> first;
+    for (const rank_view& v : ranks_) {
+        for (const std::optional<core::step_number>& step :
+             {v.state->held_step,
+              v.state->armed ? std::optional(v.state->armed->step) : std::nullopt}) {
+            first = step && (!first || *step < *first) ? step : first;
         }
-        return;
     }
-    const std::optional<armed_layout> common = common_armed();
-    if (!common) {
+    step_ = *first;
+    // An engine holds one step at a time, and an order to release the one that it holds may be
+    // late.
+    for (std::size_t i = 0; i < ranks_.size() && ranks_[holder_].state->held_step; ++i) {
+        holder_ = static_cast<std::uint32_t>((holder_ + 1) % ranks_.size());
+    }
+    enter(switch_phase::securing, now);
+}
+
+void layout_switch::advance_securing(core::time_point now)
+{
+    const rank_view& holder = ranks_[holder_];
+    if (holder.state->held_step == step_) {
         withdraw("left_behind", now);
-        return;
     }
-    version_ = common->version;
-    step_ = common->step;
-    running_version_ = version_;
-    enter(switch_phase::releasing, now);
+    else if (holder.refused || !any_held()) {
+        // The step has begun, or the engine holds another one.
+        enter(switch_phase::settling, now);
+    }
 }
 
 void layout_switch::advance(core::time_point now)
@@ -263,6 +283,9 @@
     case switch_phase::settling:
         settle(now);
         break;
+    case switch_phase::securing:
+        advance_securing(now);
+        break;
     case switch_phase::idle:
         // A hold order was executed late. At this point either no engine is armed, or all are.
         if (any_held()) {
@@ -299,7 +322,7 @@
         return;
     }
     if (loaded) {
-        step_ = core::step_number{ranks_[holder_].state->step.value + lead_steps()};
+        step_ = choose_step();
         step_chosen_at_ = now;
         enter(switch_phase::holding, now);
         return;
@@ -326,7 +349,7 @@
     }
     if (holder.refused) {
         holder.refused = false;
-        step_ = core::step_number{holder.state->step.value + lead_steps()};
+        step_ = choose_step();
     }
     if (now - phase_since_ > arm_timeout) {
         withdraw("hold_timeout", now);
@@ -396,6 +419,7 @@
             return make_order(order_kind::load);
         }
         break;
+    case switch_phase::securing:
     case switch_phase::holding:
         if (rank == holder_ && view.state->held_step != step_) {
             return make_order(order_kind::hold);
@@ -439,6 +463,9 @@
         if (!order) {
             continue;
         }
+        if (order->kind == order_kind::hold || order->kind == order_kind::release) {
+            last_held_step_ = std::max(last_held_step_, order->step);
+        }
         view.outstanding = *order;
         view.sent_at = now;
         orders.push_back({rank, std::move(*order)});
--- a/src/rankcontrol/layoutswitch.h
+++ b/src/rankcontrol/layoutswitch.h
@@ -11,6 +11,7 @@
 
 enum class switch_phase {
     settling,    ///< determines the state that an earlier leader left behind
+    securing,    ///< one engine is ordered to hold the step that an earlier leader held
     idle,        ///< no switch is under way
     loading,     ///< the engines copy the experts of the next layout
     holding,     ///< one engine is ordered to hold the step of the switch
@@ -31,12 +32,15 @@
 /// engine holds the step of the switch before any engine is armed for it. The step is released only
 /// in two cases: when all engines report that they are armed, or when none is armed and each has
 /// accepted a newer layout since. The newer layout invalidates every late order of the withdrawn
-/// one. This class only decides: the caller transports orders and states, and passes on only states
-/// that were reported under this leader's term.
+/// one. A successor cannot know which of the two its predecessor had decided on, and orders of
+/// either decision may still be executed. It holds the step itself, on another engine, and
+/// withdraws the switch. This class only decides: the caller transports orders and states, and
+/// passes on only states that were reported under this leader's term.
 class layout_switch {
 public:
     /// Versions are unique across leaders because they contain the term. The holder is the rank
-    /// that holds the step of a switch.
+    /// that holds the step of a switch. Successive leaders have different holders, so that a late
+    /// release order of one leader does not end the hold of the next.
     layout_switch(term own, std::size_t ranks, std::uint32_t holder);
 
     /// State of a rank that obeys this leader.
@@ -88,17 +92,22 @@
     core::map_version next_version();
     /// Steps between the current one and the step of a switch.
     std::uint64_t lead_steps() const;
+    /// Step for the next switch. No step is held twice, because a late order to release it would
+    /// end the second hold.
+    core::step_number choose_step() const;
+    /// Begins to hold the first step that an engine holds or is armed for.
+    void secure(core::time_point now);
     bool same_epoch() const;
     bool any_armed() const;
     bool any_held() const;
     bool all_armed() const;
     /// Whether no rank is armed and no order from before the withdrawal can arm one any more.
     bool withdrawn() const;
-    std::optional<armed_layout> common_armed() const;
     void enter(switch_phase p, core::time_point now);
     void withdraw(std::string_view reason, core::time_point now);
     void settle(core::time_point now);
     void advance(core::time_point now);
+    void advance_securing(core::time_point now);
     void advance_loading(core::time_point now);
     void advance_holding(core::time_point now);
     void advance_arming(core::time_point now);
@@ -126,6 +135,8 @@
     std::shared_ptr<const layout> next_layout_;
     core::map_version version_;
     core::step_number step_;
+    /// Highest step of this epoch that was ordered to be held or released.
+    core::step_number last_held_step_;
 };
 
 } // namespace currantpitch::rankcontrol
