Bound the memory of all answers that a process holds

Change: the answers of a process share 32 MiB. An answer may grow until it is as large as the rest, so that small ones always fit and a large one is read while memory is free. An answer that may not grow ends its attempt with the reason answer_too_large. The body is moved instead of copied.

--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -17,6 +17,8 @@
     attempt_result result = attempt_result::not_run;
     /// The endpoint's answer for the results answered and failed; empty for a stream.
     std::optional<http::response> answer;
+    /// Memory of the answer.
+    std::optional<answer_memory::share> answer_share;
     std::string_view reason;
     dispatch::work_outcome work = dispatch::work_outcome::broken;
     /// The endpoint has sent the head of its answer, and the first event or the complete body.
@@ -59,6 +61,10 @@
                                          const directory::endpoint_record& record);
     core::task<attempt_outcome> read_answer(http::client_connection& connection,
                                             const directory::endpoint_record& record);
+    /// Reads the rest of the body. errc::too_large when it exceeds max_answer_bytes or the share
+    /// cannot grow, otherwise as client_connection::read_some.
+    static core::task<core::result<std::string>> read_body(http::client_connection& connection,
+                                                           answer_memory::share& share);
     /// Records what the endpoint's answer to this request says of the endpoint.
     void record_signal(const answer_metadata& metadata, const directory::endpoint_record& record);
     core::task<attempt_outcome> relay_stream(http::client_connection& connection,
@@ -253,10 +259,11 @@
             outcome = co_await relay_stream(connection, std::move(head.value()));
         }
         else {
-            const core::result<std::string> body =
-                co_await connection.read_rest(max_answer_bytes, core::time_point::max());
+            answer_memory::share share(context_.answers);
+            core::result<std::string> body = co_await read_body(connection, share);
             if (!body) {
-                outcome.reason = "answer_cut";
+                const bool too_large = body.error().code == core::errc::too_large;
+                outcome.reason = too_large ? "answer_too_large" : "answer_cut";
                 co_return outcome;
             }
             if (mismatched) {
@@ -290,7 +297,8 @@
                 outcome.work =
                     failed ? dispatch::work_outcome::failed : dispatch::work_outcome::done;
                 outcome.answer = std::move(head.value());
-                outcome.answer->body = body.value();
+                outcome.answer->body = std::move(body.value());
+                outcome.answer_share = std::move(share);
                 head_received_ = true;
                 on_progress();
             }
@@ -311,6 +319,25 @@
     co_return outcome;
 }
 
+template <proxy_dialect Dialect>
+core::task<core::result<std::string>>
+endpoint_attempt<Dialect>::read_body(http::client_connection& connection,
+                                     answer_memory::share& share)
+{
+    std::string body;
+    while (true) {
+        core::result<std::string> piece = co_await connection.read_some(core::time_point::max());
+        if (!piece || piece.value().empty()) {
+            co_return piece ? core::result<std::string>(std::move(body)) : piece;
+        }
+        body += piece.value();
+        if (body.size() > max_answer_bytes || !share.grow(piece.value().size())) {
+            core::counter_for("answers_too_large_total").add();
+            co_return core::error{core::errc::too_large, "the answer is too large"};
+        }
+    }
+}
+
 template <proxy_dialect Dialect>
 void endpoint_attempt<Dialect>::record_signal(const answer_metadata& metadata,
                                               const directory::endpoint_record& record)
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -56,6 +56,8 @@
 inline constexpr std::chrono::milliseconds unready_retry_after{500};
 /// Maximum size of an answer that is not a stream, in bytes.
 inline constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
+/// Maximum size of all answers together that a process has read and not yet forwarded, in bytes.
+inline constexpr std::size_t max_answers_bytes = std::size_t{32} * 1024 * 1024;
 /// Maximum size of a single event of a stream, in bytes.
 inline constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 /// Maximum number of parts of a prompt that are taken into account, and the maximum length of their
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -6,8 +6,10 @@
 #include "directory/endpointdirectory.h"
 #include "dispatch/concurrencycontroller.h"
 #include "dispatch/workqueue.h"
+#include "proxy/answermemory.h"
 #include "proxy/connectionpool.h"
 #include "proxy/partguard.h"
+#include "proxy/proxyconstants.h"
 #include "routes/configurationview.h"
 
 #include <map>
@@ -79,6 +81,7 @@
     directory::endpoint_directory endpoints;
     backpressure::endpoint_signals signals;
     connection_pool connections;
+    answer_memory answers{max_answers_bytes};
     std::mt19937_64 random;
     core::time_point started_at;
     std::map<core::service_id, std::unique_ptr<service_state>> services;
