Test an answer's head that breaks off at each byte

It does not happen here: the parser reports a head without its empty line as broken. head_that_breaks_off_is_not_an_answer plays each byte, on new and on kept connections, for all four kinds of retries; it held on the code as it was.

--- a/src/proxy/tests/tst_unframedanswers.cpp
+++ b/src/proxy/tests/tst_unframedanswers.cpp
@@ -67,3 +67,35 @@
     send_request();
     CHECK(!ends_with_last_chunk());
 }
+
+// An endpoint stopped in the middle of its answer's head and closed, and callers got a 200 with an
+// empty or short body that was framed as whole.
+TEST(unframed_answers, head_that_breaks_off_is_not_an_answer)
+{
+    const std::string whole_head = head("7", "Genuine: 1\r\nContent-Type: a/b\r\n"
+                                             "Content-Length: 5\r\n\r\n");
+    for (const routes::retry_policy retry :
+         {routes::retry_policy::at_most_once, routes::retry_policy::idempotent,
+          routes::retry_policy::one_shot_stream, routes::retry_policy::resumable_stream}) {
+        configure(retry);
+        for (std::size_t length = 0; length < whole_head.size(); ++length) {
+            for (const bool kept_connection : {false, true}) {
+                if (kept_connection) {
+                    answer.clear();
+                    // An endpoint that broke off is avoided for a while.
+                    a.replies = {{full_answer("7", "first")}};
+                    b.replies = {{full_answer("7", "first")}};
+                    send_request();
+                    CHECK(answer.ends_with("first"));
+                }
+                answer.clear();
+                a.replies = {{whole_head.substr(0, length), reply::after_reply::close}};
+                b.replies = {{whole_head.substr(0, length), reply::after_reply::close}};
+                send_request();
+                CHECK(status() == 502 || status() == 503 || status() == 504);
+                a.replies.clear();
+                b.replies.clear();
+            }
+        }
+    }
+}
