Answer the requests that still run at the end of a planned stop

Cause: requests that may outlast the stop were taken for the first 3.3 s, and nothing ended them before the process did. Change: a stop has its deadline from its beginning. What still runs then is answered with 504, or with 503 if it did not run, 200 ms before the process ends; a stream is cut, so that it does not look complete. Requests that may outlast the stop are refused from 2.8 s on, as clients and the platform count 3 s from the signal. A grace period shorter than 3.3 s is kept to. Evidence: request_that_still_runs_at_the_end_of_the_stop_is_answered got its answer 1.4 s after the request, long after the stop's end, before; now 504 by the end.

--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -36,6 +36,11 @@
 inline constexpr std::chrono::seconds address_lifetime{1};
 /// Time during which a stopping entry still accepts requests. Three address lifetimes and a margin.
 inline constexpr std::chrono::milliseconds shutdown_grace_period{3300};
+/// Time after the beginning of a stop for which requests are taken that may last until its end.
+/// Nearly all of them end earlier, and most callers have no other address yet.
+inline constexpr std::chrono::milliseconds stop_acceptance_period{2800};
+/// Time before the end of a stop at which the requests that still run are answered with a failure.
+inline constexpr std::chrono::milliseconds stop_answer_time{200};
 /// Margin subtracted from the stop timeout, so that the process ends before the platform kills it.
 inline constexpr std::chrono::milliseconds stop_timeout_margin{400};
 /// Maximum number of addresses in one answer.
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -431,11 +431,13 @@
     const core::time_point stop_started_at = core::runtime_clock::now();
     hub_->set_leaving();
     hub_->send_to_all(wire::encode(own_report()));
-    // Callers may use earlier address answers for this long, so new requests are still served.
-    co_await core::sleep_for(shutdown_grace_period);
     const core::time_point deadline =
         stop_started_at + settings_.stop_timeout - stop_timeout_margin;
-    context_.stop_deadline = deadline;
+    context_.stop_deadline = deadline - stop_answer_time;
+    context_.stop_refuses_from = stop_started_at + stop_acceptance_period;
+    // Callers may use earlier address answers for this long, so new requests are still served.
+    co_await core::sleep_for(
+        std::min<core::duration>(shutdown_grace_period, deadline - stop_started_at));
     while (context_.in_flight > 0 && core::runtime_clock::now() < deadline) {
         co_await core::sleep_for(maintenance_interval);
     }
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -78,6 +78,8 @@
     /// may follow. It is not silent when this process is late in reading its answer.
     bool is_silent(const http::client_connection& connection) const;
     core::duration idle_timeout(core::time_point now) const;
+    /// A planned stop that begins meanwhile may end the attempt before the request's deadline.
+    core::time_point deadline() const { return context_.end_of(deadline_); }
 
     /// Counts a stream as running while its attempt lasts.
     class stream_count {
@@ -133,7 +135,7 @@
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
     }
-    if (deadline_ - core::runtime_clock::now() < min_time_left) {
+    if (deadline() - core::runtime_clock::now() < min_time_left) {
         outcome.reason = "out_of_time";
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
@@ -168,7 +170,7 @@
 core::task<void> endpoint_attempt<Dialect>::record_crash(const directory::endpoint_record& record)
 {
     const core::time_point failed_at = core::runtime_clock::now();
-    if (routed_.request.shared_parts.empty() || failed_at >= deadline_ ||
+    if (routed_.request.shared_parts.empty() || failed_at >= deadline() ||
         !context_.endpoints.usable(record.endpoint)) {
         co_return;
     }
@@ -197,7 +199,7 @@
     }
     http::client_connection new_connection(context_.executor);
     const core::time_point connect_deadline =
-        std::min(core::runtime_clock::now() + connect_timeout, deadline_);
+        std::min(core::runtime_clock::now() + connect_timeout, deadline());
     const core::result<void> connected =
         co_await new_connection.connect(record.address, connect_deadline);
     if (!connected) {
@@ -218,7 +220,7 @@
         call.workspace = routed_.workspace->name;
     }
     call.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        deadline_ - core::runtime_clock::now());
+        deadline() - core::runtime_clock::now());
     call.last_event_id = answer_.events().last_id();
     sent_at_ = core::runtime_clock::now();
     http::request message = Dialect::make_endpoint_request(routed_.request, call);
@@ -445,8 +447,8 @@
 endpoint_attempt<Dialect>::watch_timeouts(const http::client_connection& connection)
 {
     while (true) {
-        if (core::runtime_clock::now() >= deadline_) {
-            co_return "out_of_time";
+        if (core::runtime_clock::now() >= deadline()) {
+            co_return deadline() < deadline_ ? "stopping" : "out_of_time";
         }
         if (is_silent(connection)) {
             const bool acquired = co_await next_.acquire_slot();
@@ -458,7 +460,7 @@
         }
         core::timer timer(context_.executor);
         co_await timer.wait_until(
-            std::min(deadline_, core::runtime_clock::now() + watchdog_interval));
+            std::min(deadline(), core::runtime_clock::now() + watchdog_interval));
     }
 }
 
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -67,6 +67,11 @@
     void log_signal_change(const backpressure::endpoint_signal& signal,
                            const backpressure::signal_change& change, std::string_view source_kind,
                            std::string_view source) const;
+    /// End of a request with this deadline, which a planned stop may end earlier.
+    core::time_point end_of(core::time_point deadline) const
+    {
+        return stop_deadline ? std::min(deadline, *stop_deadline) : deadline;
+    }
     /// Sets the number of processes that share the endpoints and the retry allowance, including
     /// this one.
     void set_process_count(std::size_t processes);
@@ -95,9 +100,10 @@
     std::size_t process_count = 1;
     std::size_t in_flight = 0;
     bool stopping = false;
-    /// End of a planned stop, once its grace period is over. Requests that may last longer are
-    /// refused from then on.
+    /// Time at which a planned stop ends the requests that still run.
     std::optional<core::time_point> stop_deadline;
+    /// Time in a planned stop from which requests are refused that may last until its deadline.
+    core::time_point stop_refuses_from;
 };
 
 } // namespace currantpitch::proxy
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -50,6 +50,8 @@
     core::task<void> refuse(unsigned status, std::string_view reason);
     /// Time after which the caller of a request that is refused for this reason should return.
     std::chrono::milliseconds retry_after(std::string_view reason);
+    /// A planned stop that begins meanwhile may end the request before its deadline.
+    core::time_point deadline() const { return context_.end_of(deadline_); }
     void log_attempt(const core::endpoint_id& endpoint, const attempt_outcome& outcome,
                      next_step step) const;
     void log_outcome(std::string_view outcome, std::string_view reason) const;
@@ -174,7 +176,7 @@
         routed_.route->target_latency * queue_wait_fraction);
     const core::time_point now = core::runtime_clock::now();
     slot_request.deadline =
-        std::min((attempts_ == 0 ? routed_.arrived : now) + max_wait, deadline_ - min_time_left);
+        std::min((attempts_ == 0 ? routed_.arrived : now) + max_wait, deadline() - min_time_left);
     slot_request.excluded = tried_endpoints_;
     co_return co_await service_.queue.acquire_slot(slot_request);
 }
@@ -185,7 +187,7 @@
     const core::time_point now = core::runtime_clock::now();
     dispatch::dispatch_request next;
     next.excluded = tried_endpoints_;
-    return attempts_ < routed_.route->max_attempts && deadline_ - now >= min_time_left &&
+    return attempts_ < routed_.route->max_attempts && deadline() - now >= min_time_left &&
            !service_.guard.refuses(routed_.request.shared_parts) &&
            service_.queue.slot_scheduler().has_candidate(next) && service_.retries.has_retry(now);
 }
@@ -198,7 +200,7 @@
     context.answer_begun = answer_.begun();
     context.may_have_run = may_have_run_;
     const core::time_point now = core::runtime_clock::now();
-    context.out_of_time = deadline_ - now < min_time_left;
+    context.out_of_time = deadline() - now < min_time_left;
     const bool within_limits = attempts_ < routed_.route->max_attempts && !context.out_of_time;
     dispatch::dispatch_request retry_request;
     retry_request.excluded = tried_endpoints_;
@@ -238,7 +240,7 @@
         co_await refuse(503, outcome.reason);
         co_return;
     case next_step::fail: {
-        const bool timed_out = core::runtime_clock::now() >= deadline_ - min_time_left;
+        const bool timed_out = core::runtime_clock::now() >= deadline() - min_time_left;
         co_await refuse(timed_out ? 504 : 502, outcome.reason);
         co_return;
     }
--- a/src/proxy/requesthandler.h
+++ b/src/proxy/requesthandler.h
@@ -23,7 +23,8 @@
     };
 
     routing_decision route_request(const caller_request& request) const;
-    /// Whether a planned stop may end the process before the request's deadline.
+    /// Whether a planned stop may end the request before its deadline, and the caller's addresses
+    /// lead elsewhere by now.
     bool may_outlast_stop(const caller_request& request, const routes::route& route) const;
     core::task<void> forward(http::server_connection& caller, routed_request routed);
 
@@ -78,9 +79,9 @@
 bool request_handler<Dialect>::may_outlast_stop(const caller_request& request,
                                                 const routes::route& route) const
 {
-    return context_.stop_deadline &&
-           core::runtime_clock::now() + std::min(request.timeout, route.timeout) >
-               *context_.stop_deadline;
+    const core::time_point now = core::runtime_clock::now();
+    return context_.stop_deadline && now >= context_.stop_refuses_from &&
+           now + std::min(request.timeout, route.timeout) > *context_.stop_deadline;
 }
 
 template <proxy_dialect Dialect>
