Let an answer count only for the order that it names

Cause: the leader took an answer for that of whatever order was outstanding at the rank. An agent needs up to 1.95 s for an order, and the leader gives one up after 1.5 s. The late answer to an arm order counted for the load order that followed and replaces the withdrawn layout. The engine had refused that one, so the withdrawn layout stayed prepared, and a late copy of the arm order armed it again. Change: an order has an id of its term and its number in it, for orders to the leader's own engine too. An answer names it, and its result counts for this order alone. An agent stops an order when a later one arrives, since the leader has given it up by then; the same check covers ended terms. Evidence: late_answer_does_not_count_for_the_order_that_followed fails when the id is not compared, and holds with the change.

--- a/src/rankcontrol/agentcontext.h
+++ b/src/rankcontrol/agentcontext.h
@@ -56,7 +56,7 @@
     /// promised term can change meanwhile.
     bool obeys(const order_origin& origin) const
     {
-        return fence_known && origin.group == group && origin.term == promised;
+        return fence_known && origin.group == group && origin.id.term == promised;
     }
 
     core::asio::any_io_executor executor;
--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -32,7 +32,7 @@
         /// Reason why the last status was refused; empty if it was not.
         std::string_view last_finding;
         /// Id and version of the last load order, and the latest layout that the member has.
-        std::pair<std::uint64_t, core::map_version> sent_layout;
+        std::pair<order_id, core::map_version> sent_layout;
         std::optional<core::map_version> known_layout;
         bool needs_complete_layout = false;
     };
@@ -64,7 +64,6 @@
     core::group_id group_;
     /// Highest term that a member of the group has obeyed or has a layout of.
     term highest_term_;
-    std::uint64_t last_order_ = 0;
 };
 
 template <class Store, rank_port Port>
@@ -318,16 +317,15 @@
     std::uint64_t hash = 0;
     for (addressed_order& o : orders) {
         if (engine_.state() && o.rank == engine_.state()->rank) {
-            core::spawn_contained(
-                context_.executor, "engine_order",
-                execute_locally(std::move(o), {context_.group, leader_->own_term()}));
+            core::spawn_contained(context_.executor, "engine_order",
+                                  execute_locally(o, {context_.group, o.id}));
             continue;
         }
         for (const std::shared_ptr<session>& s : sessions_) {
             if (s->rank != o.rank) {
                 continue;
             }
-            rank_order message{++last_order_, context_.group, leader_->own_term(), {}, {}, {}};
+            rank_order message{o.id, context_.group, {}, {}, {}, 0};
             if (o.order.kind == order_kind::load) {
                 context_.layouts.add(o.order.version, o.order.experts);
                 message.base = base_for(*s);
@@ -380,11 +378,12 @@
                                                               order_origin origin)
 {
     const executed_order executed = co_await engine_.execute(std::move(order.order), origin);
-    if (!leader_ || leader_->own_term() != origin.term || !context_.obeys(origin) ||
+    if (!leader_ || leader_->own_term() != origin.id.term || !context_.obeys(origin) ||
         !engine_.state()) {
         co_return;
     }
     rank_answer answer;
+    answer.id = origin.id;
     answer.result = executed.result;
     answer.status = engine_.own_status();
     leader_->on_answer(order.rank, answer, core::runtime_clock::now());
--- a/src/rankcontrol/enginemonitor.h
+++ b/src/rankcontrol/enginemonitor.h
@@ -17,7 +17,8 @@
     }
 
     core::task<void> run();
-    /// Executes the order while its leadership is obeyed.
+    /// Executes the order while its leadership is obeyed and no later order has arrived: the leader
+    /// has given up an order by the time it sends the next one.
     core::task<executed_order> execute(engine_order order, order_origin origin);
 
     /// The engine's state at the last poll; empty until it has answered once.
@@ -54,6 +55,7 @@
     std::optional<rank_state> state_;
     /// Term that was promised before state_ was read.
     term state_read_under_;
+    order_id newest_order_;
     bool state_unreadable_ = false;
     /// Epoch and version of the active layout, and the time at which it was first seen.
     std::pair<group_epoch, core::map_version> active_layout_id_;
@@ -204,11 +206,14 @@
     if (load) {
         loading_until_ = core::runtime_clock::now() + load_timeout;
     }
-    executed_order done = co_await engine_.execute(
-        std::move(order), origin, [this](const order_origin& o) { return context_.obeys(o); });
+    newest_order_ = std::max(newest_order_, origin.id);
+    executed_order done =
+        co_await engine_.execute(std::move(order), origin, [this](const order_origin& o) {
+            return context_.obeys(o) && o.id == newest_order_;
+        });
     if (done.state) {
         state_ = done.state;
-        state_read_under_ = origin.term;
+        state_read_under_ = origin.id.term;
     }
     if (load) {
         state_updated_.notify();
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -50,7 +50,7 @@
     }
     record_held_experts(answer.status);
     const switch_phase before = switch_.phase();
-    switch_.on_answer(rank, answer.result, answer.status.state, now);
+    switch_.on_answer(rank, answer.id, answer.result, answer.status.state, now);
     log_phase(before);
     update_layout();
 }
--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -151,15 +151,16 @@
     advance(now);
 }
 
-void layout_switch::on_answer(std::uint32_t rank, std::optional<order_result> result,
-                              const rank_state& state, core::time_point now)
+void layout_switch::on_answer(std::uint32_t rank, const order_id& id,
+                              std::optional<order_result> result, const rank_state& state,
+                              core::time_point now)
 {
     if (rank >= ranks_.size()) {
         return;
     }
     rank_view& v = ranks_[rank];
-    if (v.outstanding) {
-        const engine_order order = std::move(*v.outstanding);
+    if (v.outstanding && v.outstanding->id == id) {
+        const engine_order order = std::move(v.outstanding->order);
         v.outstanding.reset();
         const bool done = result && *result != order_result::refused;
         v.refused = result && *result == order_result::refused && !fulfilled(order, state);
@@ -456,7 +457,7 @@
     }
     for (std::uint32_t rank = 0; rank < ranks_.size(); ++rank) {
         rank_view& view = ranks_[rank];
-        if (view.outstanding && now - view.sent_at <= order_timeout) {
+        if (view.outstanding && now - view.outstanding->at <= order_timeout) {
             continue;
         }
         std::optional<engine_order> order = order_for(rank);
@@ -466,9 +467,9 @@
         if (order->kind == order_kind::hold || order->kind == order_kind::release) {
             last_held_step_ = std::max(last_held_step_, order->step);
         }
-        view.outstanding = *order;
-        view.sent_at = now;
-        orders.push_back({rank, std::move(*order)});
+        const order_id id{own_term_, ++orders_issued_};
+        view.outstanding = sent_order{id, *order, now};
+        orders.push_back({rank, id, std::move(*order)});
     }
     return orders;
 }
--- a/src/rankcontrol/layoutswitch.h
+++ b/src/rankcontrol/layoutswitch.h
@@ -24,6 +24,7 @@
 /// An order and the rank that it is for.
 struct addressed_order {
     std::uint32_t rank = 0;
+    order_id id;
     engine_order order;
 };
 
@@ -45,10 +46,10 @@
 
     /// State of a rank that obeys this leader.
     void on_state(const rank_state& state, core::time_point now);
-    /// Result of the last order to the rank, and the state after it; the result is empty when it is
-    /// unknown.
-    void on_answer(std::uint32_t rank, std::optional<order_result> result, const rank_state& state,
-                   core::time_point now);
+    /// Result of the order with that id, and the state after it; the result is empty when it is
+    /// unknown. The result of an order that was given up does not count.
+    void on_answer(std::uint32_t rank, const order_id& id, std::optional<order_result> result,
+                   const rank_state& state, core::time_point now);
     /// The connection to the rank is lost, so its state is unknown until the next report.
     void on_disconnected(std::uint32_t rank);
 
@@ -80,10 +81,14 @@
     bool group_running() const;
 
 private:
+    struct sent_order {
+        order_id id;
+        engine_order order;
+        core::time_point at;
+    };
     struct rank_view {
         std::optional<rank_state> state;
-        std::optional<engine_order> outstanding;
-        core::time_point sent_at;
+        std::optional<sent_order> outstanding;
         bool refused = false;
         /// Whether the rank accepted the newest load order.
         bool accepted_load = false;
@@ -119,6 +124,7 @@
     term own_term_;
     std::uint32_t holder_;
     std::uint64_t versions_issued_ = 0;
+    std::uint64_t orders_issued_ = 0;
     std::vector<rank_view> ranks_;
     std::optional<group_epoch> epoch_;
     switch_phase phase_ = switch_phase::settling;
--- a/src/rankcontrol/memberside.h
+++ b/src/rankcontrol/memberside.h
@@ -210,9 +210,9 @@
             .field("order", to_string(order.order.kind))
             .field("group", order.group)
             .field("own_group", context_.group)
-            .field("term", order.term);
+            .field("term", order.id.term);
     }
-    const order_origin origin{order.group, order.term};
+    const order_origin origin{order.group, order.id};
     if (context_.obeys(origin)) {
         const bool decoded = order.order.kind != order_kind::load || decode_layout(order);
         if (decoded) {
--- a/src/rankcontrol/rankexecutor.h
+++ b/src/rankcontrol/rankexecutor.h
@@ -137,7 +137,8 @@
     }
     core::log_event("engine_order")
         .field("order", to_string(order.kind))
-        .field("term", origin.term)
+        .field("term", origin.id.term)
+        .field("number", origin.id.number)
         .field("epoch", order.epoch)
         .field("version", order.version)
         .field("step", order.step)
--- a/src/rankcontrol/rankmessages.h
+++ b/src/rankcontrol/rankmessages.h
@@ -78,9 +78,8 @@
 /// Order of a leader to the engine of a member.
 struct rank_order {
     static constexpr std::uint8_t type = rank_order_type;
-    std::uint64_t id = 0;
+    order_id id;
     core::group_id group;
-    rankcontrol::term term;
     /// The order without its experts, which are encoded in experts.
     engine_order order;
     /// Version of the layout that experts refers to; empty if experts is complete.
@@ -91,22 +90,22 @@
 template <class Archive>
 void describe(Archive& archive, rank_order& m)
 {
-    archive(m.id, m.group, m.term, m.order.kind, m.order.epoch, m.order.version, m.order.step,
-            m.base, m.experts, m.layout_hash);
+    archive(m.id.term, m.id.number, m.group, m.order.kind, m.order.epoch, m.order.version,
+            m.order.step, m.base, m.experts, m.layout_hash);
 }
 
-/// Answer to an order, with the engine's state after it. There is no result when the engine did not
-/// answer or the member did not obey the order's term.
+/// Answer to the order with that id, with the engine's state after it. There is no result when the
+/// engine did not answer, the member did not obey the order's term, or a later order replaced it.
 struct rank_answer {
     static constexpr std::uint8_t type = rank_answer_type;
-    std::uint64_t id = 0;
+    order_id id;
     std::optional<order_result> result;
     rank_status status;
 };
 template <class Archive>
 void describe(Archive& archive, rank_answer& m)
 {
-    archive(m.id, m.result, m.status);
+    archive(m.id.term, m.id.number, m.result, m.status);
 }
 
 } // namespace currantpitch::rankcontrol
--- a/src/rankcontrol/rankstate.h
+++ b/src/rankcontrol/rankstate.h
@@ -117,10 +117,19 @@
     last = refused,
 };
 
-/// The leadership that an order belongs to.
+/// Identifies an order among those of all leaders of a group. A later order of one leader, and any
+/// order of a later term, is greater.
+struct order_id {
+    rankcontrol::term term;
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const order_id&, const order_id&) = default;
+};
+
+/// Where an order comes from.
 struct order_origin {
     core::group_id group;
-    rankcontrol::term term;
+    order_id id;
 };
 
 /// Whether the engine is in the state that the order requests.
--- a/src/rankcontrol/tests/tst_layoutswitch.cpp
+++ b/src/rankcontrol/tests/tst_layoutswitch.cpp
@@ -45,7 +45,7 @@
                 now += arm_timeout + 1ms;
                 continue;
             }
-            leader.on_answer(o.rank, result, s.group.state(o.rank), now);
+            leader.on_answer(o.rank, o.id, result, s.group.state(o.rank), now);
         }
     }
     s.late_orders = leader.take_orders(now);
@@ -78,7 +78,7 @@
             }
             const order_result result = s.group.order(o.rank, o.order);
             s.group.finish_loading(o.rank);
-            successor.on_answer(o.rank, result, s.group.state(o.rank), now);
+            successor.on_answer(o.rank, o.id, result, s.group.state(o.rank), now);
             s.group.begin_step();
         }
     }
@@ -120,12 +120,12 @@
         const std::vector<addressed_order> orders = leader.take_orders(now);
         for (const addressed_order& o : orders) {
             if (unresponsive == o.rank) {
-                leader.on_answer(o.rank, std::nullopt, group.state(o.rank), now);
+                leader.on_answer(o.rank, o.id, std::nullopt, group.state(o.rank), now);
                 continue;
             }
             const order_result result = group.order(o.rank, o.order);
             group.finish_loading(o.rank);
-            leader.on_answer(o.rank, result, group.state(o.rank), now);
+            leader.on_answer(o.rank, o.id, result, group.state(o.rank), now);
         }
         return !orders.empty();
     }
@@ -210,7 +210,8 @@
     const std::vector<addressed_order> arms = leader.take_orders(now);
     LONGS_EQUAL(3, arms.size());
     for (std::uint32_t rank = 0; rank < 2; ++rank) {
-        leader.on_answer(rank, group.order(rank, arms[rank].order), group.state(rank), now);
+        leader.on_answer(rank, arms[rank].id, group.order(rank, arms[rank].order),
+                         group.state(rank), now);
     }
     now += arm_timeout + 1ms;
     report_states();
@@ -267,7 +268,7 @@
     now += arm_timeout + 1ms;
     report_states();
     CHECK(leader.phase() == switch_phase::withdrawing);
-    leader.on_answer(0, group.order(0, holds.front().order), group.state(0), now);
+    leader.on_answer(0, holds.front().id, group.order(0, holds.front().order), group.state(0), now);
     while (execute_orders()) {
     }
     CHECK(leader.can_propose());
@@ -324,3 +325,38 @@
     run_steps(5);
     LONGS_EQUAL(5, group.step().value);
 }
+
+// Review case 2: the answer to an arm order that came after the order was given up counted for the
+// load order that followed. The rank kept the withdrawn layout and switched to it alone.
+TEST(layout_switches, late_answer_does_not_count_for_the_order_that_followed)
+{
+    leader.propose(second_layout(), now);
+    execute_orders();
+    execute_orders();
+    const std::vector<addressed_order> arms = leader.take_orders(now);
+    for (std::uint32_t rank = 0; rank < 2; ++rank) {
+        leader.on_answer(rank, arms[rank].id, group.order(rank, arms[rank].order),
+                         group.state(rank), now);
+    }
+    now += order_timeout + 1ms;
+    const rank_state armed_state = [&] {
+        group.order(2, arms[2].order);
+        return group.state(2);
+    }();
+    const std::vector<addressed_order> withdrawal = leader.take_orders(now);
+    LONGS_EQUAL(3, withdrawal.size());
+    CHECK(withdrawal[2].order.kind == order_kind::load);
+    leader.on_answer(2, arms[2].id, order_result::already, armed_state, now);
+    // The engine refuses the load order, since it is armed, and is disarmed then.
+    leader.on_answer(2, withdrawal[2].id, group.order(2, withdrawal[2].order), group.state(2), now);
+    for (std::uint32_t rank = 0; rank < 2; ++rank) {
+        leader.on_answer(rank, withdrawal[rank].id, group.order(rank, withdrawal[rank].order),
+                         group.state(rank), now);
+    }
+    while (execute_orders()) {
+    }
+    CHECK(leader.can_propose());
+    CHECK(group.order(2, arms[2].order) == order_result::refused);
+    run_steps(5);
+    STRCMP_EQUAL("", group.violation().c_str());
+}
--- a/src/rankcontrol/tests/tst_switchmodel.cpp
+++ b/src/rankcontrol/tests/tst_switchmodel.cpp
@@ -24,12 +24,13 @@
 /// Messages that one side of a connection has sent and the other has not read yet, in order.
 struct leader_message {
     std::optional<term> claim;
-    std::optional<std::pair<term, engine_order>> order;
+    std::optional<addressed_order> order;
 };
 struct member_message {
     term promised;
     rank_state state;
-    bool is_answer = false;
+    /// Only in answers.
+    std::optional<order_id> answered;
     std::optional<order_result> result;
 };
 
@@ -160,9 +161,8 @@
         }
         update_layout(*l.switch_control);
         for (addressed_order& o : l.switch_control->take_orders(now)) {
-            connection_of(leader, o.rank)
-                .to_member.push_back(
-                    {std::nullopt, std::make_pair(l.own_term, std::move(o.order))});
+            const std::uint32_t rank = o.rank;
+            connection_of(leader, rank).to_member.push_back({std::nullopt, std::move(o)});
         }
     }
 
@@ -209,9 +209,9 @@
             return;
         }
         member_message answer;
-        answer.is_answer = true;
-        if (a.fence_known && message.order->first == a.promised) {
-            answer.result = execute(static_cast<std::uint32_t>(rank), message.order->second);
+        answer.answered = message.order->id;
+        if (a.fence_known && message.order->id.term == a.promised) {
+            answer.result = execute(static_cast<std::uint32_t>(rank), message.order->order);
         }
         answer.promised = a.promised;
         answer.state = group.state(static_cast<std::uint32_t>(rank));
@@ -271,9 +271,9 @@
             return;
         }
         update_layout(*l.switch_control);
-        if (message.is_answer) {
-            l.switch_control->on_answer(static_cast<std::uint32_t>(rank), message.result,
-                                        message.state, now);
+        if (message.answered) {
+            l.switch_control->on_answer(static_cast<std::uint32_t>(rank), *message.answered,
+                                        message.result, message.state, now);
         }
         else {
             l.switch_control->on_state(message.state, now);
@@ -285,7 +285,7 @@
     {
         connection_of(leader, rank)
             .to_leader.push_back({agents_[rank].promised,
-                                  group.state(static_cast<std::uint32_t>(rank)), false,
+                                  group.state(static_cast<std::uint32_t>(rank)), std::nullopt,
                                   std::nullopt});
     }
 
