Let the model of switches see processes that stand still

Cause: the model executed an order at once when it arrived, and answered in the same step. So it knew no order in progress while the promised term changes, no state from before, no late answer, no way of an order to the leader's own engine and no leader that acts on its timers after others have led. Change: agents send orders attempt by attempt and read their engine's state between orders; a leader may stand still; the answers of one rank may be late in a round. Choices within a command come from a seed of their own, as a list's number did not last for a command's many choices: the rest were all 0.

--- a/src/rankcontrol/tests/tst_switchmodel.cpp
+++ b/src/rankcontrol/tests/tst_switchmodel.cpp
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <memory>
+#include <random>
 
 #include "CppUTest/TestHarness.h"
 
@@ -19,6 +20,10 @@
 
 constexpr std::uint32_t rank_count = 3;
 constexpr std::size_t leader_count = 2;
+/// Number of times that an agent sends one order.
+constexpr std::size_t max_attempts = 3;
+/// Number of ways in which the choices within a command may turn out.
+constexpr std::size_t detail_seeds = std::size_t{1} << 20;
 const layout_shape shape{rank_count, 1, 6, 4, 2};
 
 /// Messages that one side of a connection has sent and the other has not read yet, in order.
@@ -28,6 +33,7 @@
 };
 struct member_message {
     term promised;
+    term read_under;
     rank_state state;
     /// Only in answers.
     std::optional<order_id> answered;
@@ -39,9 +45,21 @@
     std::deque<member_message> to_leader;
 };
 
+/// An order that an agent executes, and the leader that gets its answer.
+struct order_in_progress {
+    std::size_t leader = 0;
+    addressed_order order;
+    std::size_t attempts = 0;
+};
+
 struct agent {
     term promised;
     bool fence_known = true;
+    order_id newest_order;
+    std::deque<order_in_progress> orders;
+    /// The engine's state when it was last read, and the term that was promised before.
+    std::optional<rank_state> state;
+    term read_under;
 };
 
 struct leader_process {
@@ -51,7 +69,9 @@
 
 // Simulates the engines, agents that obey the highest term, two candidates that may both act as the
 // leader, and their faults: lost connections, orders that the engine does not answer and executes
-// later or never, failures of leaders and agents, and crashes of ranks. The oracle checks only the
+// later or never, failures of leaders and agents, leaders that stand still and go on with what they
+// believed, and crashes of ranks. The first ranks' agents are the candidates. An agent sends an
+// order attempt by attempt, and reads its engine's state between orders. The oracle checks only the
 // steps of the group.
 class switch_simulation {
 public:
@@ -62,7 +82,9 @@
         script_.next_command();
         const std::size_t rank = script_.choose(rank_count);
         const std::size_t leader = script_.choose(leader_count);
-        switch (script_.choose(32)) {
+        const std::size_t command = script_.choose(32);
+        details_.seed(static_cast<std::uint32_t>(script_.choose(detail_seeds)));
+        switch (command) {
         case 0:
         case 1:
         case 2:
@@ -76,6 +98,17 @@
         case 6:
             send_status(leader, rank);
             break;
+        case 15:
+        case 16:
+            attempt(rank);
+            break;
+        case 17:
+            read_state(rank);
+            break;
+        case 18:
+        case 19:
+            stand_still(leader);
+            break;
         case 7:
             group.begin_step();
             break;
@@ -96,11 +129,11 @@
             inject_fault(leader, rank);
             break;
         case 13:
-            now += std::chrono::milliseconds(100 * (1 + script_.choose(8)));
+            now += std::chrono::milliseconds(100 * (1 + choose(8)));
             tick(leader);
             break;
         default:
-            run_round(script_.choose(4) == 0 ? leader : 0);
+            run_round(choose(4) == 0 ? leader : 0);
             break;
         }
     }
@@ -115,6 +148,7 @@
         for (agent& a : agents_) {
             a.fence_known = true;
             a.promised = std::max(a.promised, last_term_);
+            a.orders.clear();
         }
         leaders_[1].switch_control.reset();
         claim(0);
@@ -124,6 +158,7 @@
             now += 50ms;
             for (std::size_t rank = 0; rank < rank_count; ++rank) {
                 group.finish_loading(static_cast<std::uint32_t>(rank));
+                read_state(rank);
                 send_status(0, rank);
             }
             for (int k = 0; k < 4; ++k) {
@@ -139,6 +174,9 @@
     core::time_point now{1h};
 
 private:
+    /// Makes the choices within one command, which may be many.
+    std::size_t choose(std::size_t bound) { return details_() % bound; }
+
     connection& connection_of(std::size_t leader, std::size_t rank) { return links_[leader][rank]; }
 
     void claim(std::size_t leader)
@@ -147,7 +185,10 @@
         last_term_ = last_term_.next();
         leaders_[leader].own_term = last_term_;
         leaders_[leader].switch_control =
-            std::make_unique<layout_switch>(last_term_, rank_count, leader % rank_count);
+            std::make_unique<layout_switch>(last_term_, rank_count, last_term_.value % rank_count);
+        // A candidate knows the fence that it has claimed.
+        agents_[leader].promised = last_term_;
+        agents_[leader].fence_known = true;
         for (std::size_t rank = 0; rank < rank_count; ++rank) {
             connection_of(leader, rank).to_member.push_back({last_term_, std::nullopt});
         }
@@ -162,6 +203,10 @@
         update_layout(*l.switch_control);
         for (addressed_order& o : l.switch_control->take_orders(now)) {
             const std::uint32_t rank = o.rank;
+            if (rank == leader) {
+                begin_order(leader, rank, std::move(o));
+                continue;
+            }
             connection_of(leader, rank).to_member.push_back({std::nullopt, std::move(o)});
         }
     }
@@ -208,47 +253,96 @@
         if (!message.order) {
             return;
         }
-        member_message answer;
-        answer.answered = message.order->id;
-        if (a.fence_known && message.order->id.term == a.promised) {
-            answer.result = execute(static_cast<std::uint32_t>(rank), message.order->order);
+        if (obeys(a, message.order->id)) {
+            begin_order(leader, rank, std::move(*message.order));
+        }
+        else {
+            answer(leader, rank, message.order->id, std::nullopt);
         }
-        answer.promised = a.promised;
-        answer.state = group.state(static_cast<std::uint32_t>(rank));
-        c.to_leader.push_back(answer);
     }
 
-    // Like rank_executor, sends the same order again until it is answered.
-    std::optional<order_result> execute(std::uint32_t rank, const engine_order& order)
+    static bool obeys(const agent& a, const order_id& id)
     {
-        for (int i = 0; i < 3; ++i) {
-            const std::size_t outcome = faults_disabled_ ? 7 : script_.choose(8);
-            if (outcome == 0) {
-                late_orders_.emplace_back(rank, order);
-            }
-            if (outcome == 1) {
-                group.order(rank, order);
-            }
-            if (outcome == 2) {
-                late_orders_.emplace_back(rank, order);
-                group.begin_step();
-            }
-            const bool answered = outcome > 2;
-            const order_result result = answered ? group.order(rank, order) : order_result::refused;
-            if (answered && result != order_result::refused) {
-                return result;
-            }
-            const rank_state state = group.state(rank);
-            const bool accepted_before =
-                i > 0 && answered && order.kind == order_kind::load && !state.armed;
-            if (fulfilled(order, state) || accepted_before) {
-                return order_result::already;
-            }
-            if (answered) {
-                return order_result::refused;
-            }
+        return a.fence_known && id.term == a.promised;
+    }
+
+    void begin_order(std::size_t leader, std::size_t rank, addressed_order order)
+    {
+        agent& a = agents_[rank];
+        a.newest_order = std::max(a.newest_order, order.id);
+        a.orders.push_back({leader, std::move(order), 0});
+    }
+
+    void answer(std::size_t leader, std::size_t rank, const order_id& id,
+                std::optional<order_result> result)
+    {
+        const agent& a = agents_[rank];
+        if (a.state) {
+            connection_of(leader, rank)
+                .to_leader.push_back({a.promised, a.read_under, *a.state, id, result});
+        }
+    }
+
+    // Like rank_executor, sends the first order once, and again later until it is answered.
+    void attempt(std::size_t rank)
+    {
+        agent& a = agents_[rank];
+        if (a.orders.empty()) {
+            return;
+        }
+        order_in_progress& o = a.orders.front();
+        const bool in_force = obeys(a, o.order.id) && o.order.id == a.newest_order;
+        std::optional<order_result> result;
+        if (in_force) {
+            result = send_to_engine(static_cast<std::uint32_t>(rank), o);
+            ++o.attempts;
+        }
+        if (in_force && !result && o.attempts < max_attempts) {
+            return;
+        }
+        const order_in_progress done = std::move(o);
+        a.orders.pop_front();
+        if (done.attempts > 0) {
+            a.state = group.state(static_cast<std::uint32_t>(rank));
+            a.read_under = done.order.id.term;
+        }
+        answer(done.leader, rank, done.order.id, result);
+    }
+
+    std::optional<order_result> send_to_engine(std::uint32_t rank, const order_in_progress& o)
+    {
+        const engine_order& order = o.order.order;
+        const std::size_t outcome = faults_disabled_ ? 7 : choose(8);
+        if (outcome == 0 || outcome == 2) {
+            late_orders_.emplace_back(rank, order);
+        }
+        if (outcome == 1) {
+            group.order(rank, order);
+        }
+        if (outcome == 2) {
+            group.begin_step();
+        }
+        const bool answered = outcome > 2;
+        const order_result result = answered ? group.order(rank, order) : order_result::refused;
+        if (answered && result != order_result::refused) {
+            return result;
+        }
+        const rank_state state = group.state(rank);
+        const bool accepted_before =
+            o.attempts > 0 && answered && order.kind == order_kind::load && !state.armed;
+        if (fulfilled(order, state) || accepted_before) {
+            return order_result::already;
+        }
+        return answered ? std::optional(order_result::refused) : std::nullopt;
+    }
+
+    void read_state(std::size_t rank)
+    {
+        agent& a = agents_[rank];
+        if (a.orders.empty() || a.orders.front().attempts == 0) {
+            a.state = group.state(static_cast<std::uint32_t>(rank));
+            a.read_under = a.promised;
         }
-        return std::nullopt;
     }
 
     void deliver_up(std::size_t leader, std::size_t rank)
@@ -267,7 +361,7 @@
             l.switch_control.reset();
             return;
         }
-        if (message.promised != l.own_term) {
+        if (message.read_under != l.own_term) {
             return;
         }
         update_layout(*l.switch_control);
@@ -283,10 +377,12 @@
 
     void send_status(std::size_t leader, std::size_t rank)
     {
-        connection_of(leader, rank)
-            .to_leader.push_back({agents_[rank].promised,
-                                  group.state(static_cast<std::uint32_t>(rank)), std::nullopt,
-                                  std::nullopt});
+        const agent& a = agents_[rank];
+        if (a.state) {
+            connection_of(leader, rank)
+                .to_leader.push_back(
+                    {a.promised, a.read_under, *a.state, std::nullopt, std::nullopt});
+        }
     }
 
     // One full exchange of messages and a tick of the leader.
@@ -294,29 +390,47 @@
     {
         for (std::size_t rank = 0; rank < rank_count; ++rank) {
             deliver_down(leader, rank);
+            finish_orders(rank);
             deliver_up(leader, rank);
         }
         tick(leader);
     }
 
-    // The regular work of all processes, so that faults also hit switches in their late phases.
+    void finish_orders(std::size_t rank)
+    {
+        while (!agents_[rank].orders.empty()) {
+            attempt(rank);
+        }
+    }
+
+    // The regular work of all processes, so that faults also hit switches in their late phases. The
+    // answers of one rank may be late, also by more than the leader waits for them.
     void run_round(std::size_t leader)
     {
+        const std::size_t late_rank = choose(2 * rank_count);
+        if (choose(4) == 0) {
+            now += std::chrono::milliseconds(100 * choose(25));
+        }
         for (std::size_t rank = 0; rank < rank_count; ++rank) {
             group.finish_loading(static_cast<std::uint32_t>(rank));
+            read_state(rank);
             send_status(leader, rank);
             while (!connection_of(leader, rank).to_member.empty()) {
                 deliver_down(leader, rank);
             }
-            while (!connection_of(leader, rank).to_leader.empty()) {
+            finish_orders(rank);
+            while (rank != late_rank && !connection_of(leader, rank).to_leader.empty()) {
                 deliver_up(leader, rank);
             }
         }
         tick(leader);
-        if (script_.choose(2) == 0) {
+        if (choose(4) == 0) {
+            execute_late_order();
+        }
+        if (choose(2) == 0) {
             propose(leader);
         }
-        if (script_.choose(2) == 0) {
+        if (choose(2) == 0) {
             group.begin_step();
         }
     }
@@ -326,7 +440,7 @@
         if (late_orders_.empty()) {
             return;
         }
-        const std::size_t index = script_.choose(late_orders_.size());
+        const std::size_t index = choose(late_orders_.size());
         const std::pair<std::uint32_t, engine_order> order = late_orders_[index];
         late_orders_.erase(late_orders_.begin() + static_cast<long>(index));
         group.order(order.first, order.second);
@@ -342,9 +456,28 @@
         }
     }
 
+    // The leader's process stands still while the other candidate claims the leadership. On waking
+    // it acts on its timers before it reads what has arrived, and then claims the next term.
+    void stand_still(std::size_t leader)
+    {
+        const std::size_t other = (leader + 1) % leader_count;
+        now += 2s;
+        claim(other);
+        for (std::size_t rank = 0; rank < rank_count; ++rank) {
+            while (rank != leader && !connection_of(other, rank).to_member.empty()) {
+                deliver_down(other, rank);
+            }
+        }
+        tick(leader);
+        attempt(leader);
+        if (choose(2) == 0) {
+            claim(leader);
+        }
+    }
+
     void inject_fault(std::size_t leader, std::size_t rank)
     {
-        switch (script_.choose(8)) {
+        switch (choose(8)) {
         case 0:
         case 1:
             claim(leader);
@@ -358,7 +491,8 @@
         case 4:
             // The agent restarts. It obeys no leader until it has read the last term from the
             // store.
-            agents_[rank] = agent{term{}, false};
+            agents_[rank] = agent{};
+            agents_[rank].fence_known = false;
             for (std::size_t l = 0; l < leader_count; ++l) {
                 disconnect(l, rank);
             }
@@ -379,6 +513,7 @@
     }
 
     testing::script& script_;
+    std::minstd_rand details_;
     std::array<agent, rank_count> agents_;
     std::array<leader_process, leader_count> leaders_;
     std::array<std::array<connection, rank_count>, leader_count> links_;
