Let endpoints send without end in the soak, and bound the gateways' memory there

Endpoints send bodies and events without end; after each such time the peak memory of every gateway is read from the system and compared with the 260 MB that the platform gives it.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -103,6 +103,9 @@
         co_await core::sleep_for(f.duration);
         faults.quiet_time = {};
     }
+    else if (f.kind == kind::endpoint_sends_without_end) {
+        co_await send_without_end(f);
+    }
     else if (f.kind == kind::store_restored) {
         co_await restore_store(f);
     }
@@ -274,6 +277,7 @@
     kept.request_limit = faults.request_limit;
     kept.leaving = faults.leaving;
     kept.quiet_time = faults.quiet_time;
+    kept.sends_without_end = faults.sends_without_end;
     faults = kept;
 }
 
@@ -306,6 +310,23 @@
     }
 }
 
+core::task<void> fault_injector::send_without_end(planned_fault f)
+{
+    const disturbance_scope scope(site_.checker(), disturbance_target::endpoints, 0);
+    soak_site::endpoint& e = pick_endpoint(f.target);
+    e.server->faults.sends_without_end = true;
+    co_await core::sleep_for(f.duration);
+    e.server->faults.sends_without_end = false;
+    for (soak_site::node& gateway : site_.gateways()) {
+        const std::size_t bytes = gateway.process->peak_memory_bytes();
+        peak_gateway_memory_ = std::max(peak_gateway_memory_, bytes);
+        if (bytes > max_gateway_memory_bytes) {
+            findings_.push_back("memory process=" + gateway.process->name() +
+                                " bytes=" + std::to_string(bytes));
+        }
+    }
+}
+
 core::task<void> fault_injector::drain_endpoint(soak_site::endpoint& e)
 {
     const std::uint64_t incarnation = e.incarnation;
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -13,6 +13,8 @@
     /// Starts each fault at its time, counted from now. Returns once all have ended.
     core::task<void> run(std::vector<planned_fault> script);
     const std::vector<std::string>& findings() const { return findings_; }
+    /// Highest memory use of a gateway after an endpoint has sent bytes without end.
+    std::size_t peak_gateway_memory_bytes() const { return peak_gateway_memory_; }
 
 private:
     core::task<void> inject(planned_fault f);
@@ -28,6 +30,7 @@
     core::task<void> limit_endpoint(planned_fault f);
     core::task<void> let_endpoint_leave(planned_fault f);
     core::task<void> restore_store(planned_fault f);
+    core::task<void> send_without_end(planned_fault f);
     core::task<void> drain_endpoint(soak_site::endpoint& e);
     core::task<void> crash_endpoint(soak_site::endpoint& e, std::chrono::milliseconds duration);
     soak_site::endpoint& pick_endpoint(std::uint32_t target);
@@ -38,6 +41,7 @@
     std::uint64_t new_key_count_ = 0;
     bool restoring_ = false;
     std::vector<std::string> findings_;
+    std::size_t peak_gateway_memory_ = 0;
 };
 
 } // namespace currantpitch::soak
--- a/tests/soak/faultscript.h
+++ b/tests/soak/faultscript.h
@@ -51,7 +51,8 @@
     store_restored,
     endpoint_says_it_leaves,
     endpoint_wants_quiet,
-    last = endpoint_wants_quiet,
+    endpoint_sends_without_end,
+    last = endpoint_sends_without_end,
 };
 std::string_view to_string(fault_kind k);
 
--- a/tests/soak/nodeprocess.cpp
+++ b/tests/soak/nodeprocess.cpp
@@ -66,6 +66,22 @@
     }
 }
 
+std::size_t node_process::peak_memory_bytes()
+{
+    if (!running()) {
+        return 0;
+    }
+    std::ifstream status("/proc/" + std::to_string(*pid_) + "/status");
+    std::string word;
+    std::size_t kilobytes = 0;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            status >> kilobytes;
+        }
+    }
+    return kilobytes * 1024;
+}
+
 bool node_process::running()
 {
     if (pid_ && ::waitpid(*pid_, &status_, WNOHANG) == *pid_) {
--- a/tests/soak/nodeprocess.h
+++ b/tests/soak/nodeprocess.h
@@ -27,6 +27,8 @@
     /// it or the timeout expired.
     core::task<std::optional<int>> wait_for_exit(std::chrono::milliseconds timeout);
     const std::string& name() const { return name_; }
+    /// Highest memory use of the running process, in bytes; 0 if it does not run.
+    std::size_t peak_memory_bytes();
     /// Number of starts so far.
     std::uint64_t start_count() const { return start_count_; }
 
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace currantpitch::soak {
@@ -43,6 +44,8 @@
     double min_served_ratio = 0.9;
 };
 
+/// Memory that a gateway may use, in bytes.
+inline constexpr std::size_t max_gateway_memory_bytes = std::size_t{260} * 1024 * 1024;
 /// Time for the processes to start and to load the configuration before callers start.
 inline constexpr std::chrono::milliseconds startup_time{3000};
 /// Time without faults at the end, in which the system has to serve requests.
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -58,6 +58,7 @@
               << " failed=" << checker.failed()
               << " judged_in_touch=" << checker.undisturbed_calls()
               << " part_crashes=" << checker.part_crashes()
+              << " peak_gateway_bytes=" << injector.peak_gateway_memory_bytes()
               << " switches=" << site.group().switches() << " served_after=" << served
               << " findings=" << findings.size() << "\n";
     context.stop();
