Keep the id of an order that is sent again

Cause: since answers count by id alone, the answer to a load order that came after order_timeout counted for nothing, and the order that was sent again was refused, as the engine was already copying the experts. The switch was then given up as load_refused. Change: an order with the same content keeps its id when it is sent again. Evidence: late_answer_counts_for_an_order_that_was_sent_again fails without the change.

--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -467,7 +467,9 @@
         if (order->kind == order_kind::hold || order->kind == order_kind::release) {
             last_held_step_ = std::max(last_held_step_, order->step);
         }
-        const order_id id{own_term_, ++orders_issued_};
+        // An order that is sent again keeps its id, so that a late answer to the first one counts.
+        const bool same = view.outstanding && same_request(view.outstanding->order, *order);
+        const order_id id = same ? view.outstanding->id : order_id{own_term_, ++orders_issued_};
         view.outstanding = sent_order{id, *order, now};
         orders.push_back({rank, id, std::move(*order)});
     }
--- a/src/rankcontrol/rankstate.cpp
+++ b/src/rankcontrol/rankstate.cpp
@@ -50,6 +50,12 @@
     return term_of(newest);
 }
 
+bool same_request(const engine_order& a, const engine_order& b)
+{
+    // A version has one layout only.
+    return a.kind == b.kind && a.epoch == b.epoch && a.version == b.version && a.step == b.step;
+}
+
 bool fulfilled(const engine_order& order, const rank_state& state)
 {
     if (state.epoch != order.epoch) {
--- a/src/rankcontrol/rankstate.h
+++ b/src/rankcontrol/rankstate.h
@@ -132,6 +132,9 @@
     order_id id;
 };
 
+/// Whether both orders request the same of the engine.
+bool same_request(const engine_order& a, const engine_order& b);
+
 /// Whether the engine is in the state that the order requests.
 bool fulfilled(const engine_order& order, const rank_state& state);
 
--- a/src/rankcontrol/tests/tst_layoutswitch.cpp
+++ b/src/rankcontrol/tests/tst_layoutswitch.cpp
@@ -360,3 +360,30 @@
     run_steps(5);
     STRCMP_EQUAL("", group.violation().c_str());
 }
+
+// On a slow host an answer takes longer than the leader waits for it. An order that was accepted is
+// refused when it is sent again while the engine copies experts.
+TEST(layout_switches, late_answer_counts_for_an_order_that_was_sent_again)
+{
+    leader.propose(second_layout(), now);
+    const std::vector<addressed_order> loads = leader.take_orders(now);
+    LONGS_EQUAL(3, loads.size());
+    std::vector<order_result> results;
+    for (const addressed_order& o : loads) {
+        results.push_back(group.order(o.rank, o.order));
+    }
+    now += order_timeout + 1ms;
+    const std::vector<addressed_order> again = leader.take_orders(now);
+    LONGS_EQUAL(3, again.size());
+    for (std::uint32_t rank = 0; rank < 3; ++rank) {
+        leader.on_answer(rank, loads[rank].id, results[rank], group.state(rank), now);
+        leader.on_answer(rank, again[rank].id, group.order(rank, again[rank].order),
+                         group.state(rank), now);
+    }
+    CHECK(leader.phase() == switch_phase::loading);
+    for (std::uint32_t rank = 0; rank < 3; ++rank) {
+        group.finish_loading(rank);
+    }
+    report_states();
+    CHECK(leader.phase() == switch_phase::holding);
+}
