Split the agents out of the model of switches; share what tests repeat

The peak memory of a process is read in one place, and the stop that begins meanwhile is one function.

--- a/src/proxy/tests/tst_answermemory.cpp
+++ b/src/proxy/tests/tst_answermemory.cpp
@@ -1,6 +1,6 @@
 #include "flowsite.h"
 
-#include <fstream>
+#include "support/processmemory.h"
 
 using namespace currantpitch;
 using namespace currantpitch::testing;
@@ -13,20 +13,6 @@
 constexpr std::size_t max_growth_bytes = std::size_t{100} * 1024 * 1024;
 const std::string block(std::size_t{64} * 1024, 'x');
 
-/// Highest amount of memory that this process has had in use.
-std::size_t peak_memory_bytes()
-{
-    std::ifstream status("/proc/self/status");
-    std::string word;
-    std::size_t kilobytes = 0;
-    while (status >> word) {
-        if (word == "VmHWM:") {
-            status >> kilobytes;
-        }
-    }
-    return kilobytes * 1024;
-}
-
 struct endless_site : flow_site {
     std::size_t ended = 0;
 
@@ -35,7 +21,7 @@
     void check_others_are_served(const reply& endless)
     {
         configure(routes::retry_policy::at_most_once);
-        const std::size_t before = peak_memory_bytes();
+        const std::size_t before = peak_memory_bytes("self");
         a.replies.assign(faulty_answers, endless);
         for (std::size_t i = 0; i < faulty_answers; ++i) {
             spawn_request();
@@ -52,7 +38,7 @@
         context.run_for(3s);
         LONGS_EQUAL(faulty_answers, ended);
         LONGS_EQUAL(0, shared.answers.used());
-        CHECK(peak_memory_bytes() - before < max_growth_bytes);
+        CHECK(peak_memory_bytes("self") - before < max_growth_bytes);
     }
     /// Sends a request and reads its answer, which is discarded.
     void spawn_request()
--- a/src/proxy/tests/tst_plannedstop.cpp
+++ b/src/proxy/tests/tst_plannedstop.cpp
@@ -11,6 +11,14 @@
         shared.stopping = true;
         shared.stop_deadline = core::runtime_clock::now() + time_left;
     }
+    /// Begins a stop of 400 ms while the next request runs.
+    void begin_stop_meanwhile()
+    {
+        core::spawn(context.get_executor(), [](stopping_site& site) -> core::task<void> {
+            co_await core::sleep_for(50ms);
+            site.begin_stop(400ms);
+        }(*this));
+    }
 };
 
 } // namespace
@@ -60,10 +68,7 @@
         shared.stop_deadline.reset();
         a.replies = {{"", reply::after_reply::hang}};
         b.replies = {{"", reply::after_reply::hang}};
-        core::spawn(context.get_executor(), [](stopping_site& site) -> core::task<void> {
-            co_await core::sleep_for(50ms);
-            site.begin_stop(400ms);
-        }(*this));
+        begin_stop_meanwhile();
         const core::time_point sent_at = core::runtime_clock::now();
         send_request();
         LONGS_EQUAL(504, status());
@@ -75,10 +80,7 @@
 {
     configure(routes::retry_policy::one_shot_stream, 1500ms);
     a.replies = {{stream_head("7") + events(1, 1), reply::after_reply::hang}};
-    core::spawn(context.get_executor(), [](stopping_site& site) -> core::task<void> {
-        co_await core::sleep_for(50ms);
-        site.begin_stop(400ms);
-    }(*this));
+    begin_stop_meanwhile();
     const core::time_point sent_at = core::runtime_clock::now();
     send_request();
     CHECK(core::runtime_clock::now() - sent_at < 700ms);
--- a/src/rankcontrol/tests/tst_switchmodel.cpp
+++ b/src/rankcontrol/tests/tst_switchmodel.cpp
@@ -1,4 +1,5 @@
-#include "fakes/rankgroup.h"
+#include "simulatedagent.h"
+
 #include "rankcontrol/layoutswitch.h"
 #include "rankcontrol/rankcontrolconstants.h"
 #include "rankcontrol/rankmessages.h"
@@ -20,8 +21,6 @@
 
 constexpr std::uint32_t rank_count = 3;
 constexpr std::size_t leader_count = 2;
-/// Number of times that an agent sends one order.
-constexpr std::size_t max_attempts = 3;
 /// Number of ways in which the choices within a command may turn out.
 constexpr std::size_t detail_seeds = std::size_t{1} << 20;
 const layout_shape shape{rank_count, 1, 6, 4, 2};
@@ -45,23 +44,6 @@
     std::deque<member_message> to_leader;
 };
 
-/// An order that an agent executes, and the leader that gets its answer.
-struct order_in_progress {
-    std::size_t leader = 0;
-    addressed_order order;
-    std::size_t attempts = 0;
-};
-
-struct agent {
-    term promised;
-    bool fence_known = true;
-    order_id newest_order;
-    std::deque<order_in_progress> orders;
-    /// The engine's state when it was last read, and the term that was promised before.
-    std::optional<rank_state> state;
-    term read_under;
-};
-
 struct leader_process {
     std::unique_ptr<layout_switch> switch_control;
     term own_term;
@@ -75,7 +57,13 @@
 // steps of the group.
 class switch_simulation {
 public:
-    explicit switch_simulation(testing::script& s) : script_(s) { claim(0); }
+    explicit switch_simulation(testing::script& s) : script_(s)
+    {
+        for (std::uint32_t rank = 0; rank < rank_count; ++rank) {
+            agents_.emplace_back(rank, group);
+        }
+        claim(0);
+    }
 
     void step()
     {
@@ -103,7 +91,7 @@
             attempt(rank);
             break;
         case 17:
-            read_state(rank);
+            agents_[rank].read_state();
             break;
         case 18:
         case 19:
@@ -145,10 +133,10 @@
         if (!group.open()) {
             group.rebuild_group();
         }
-        for (agent& a : agents_) {
+        for (testing::simulated_agent& a : agents_) {
             a.fence_known = true;
             a.promised = std::max(a.promised, last_term_);
-            a.orders.clear();
+            a.drop_orders();
         }
         leaders_[1].switch_control.reset();
         claim(0);
@@ -158,7 +146,7 @@
             now += 50ms;
             for (std::size_t rank = 0; rank < rank_count; ++rank) {
                 group.finish_loading(static_cast<std::uint32_t>(rank));
-                read_state(rank);
+                agents_[rank].read_state();
                 send_status(0, rank);
             }
             for (int k = 0; k < 4; ++k) {
@@ -204,7 +192,7 @@
         for (addressed_order& o : l.switch_control->take_orders(now)) {
             const std::uint32_t rank = o.rank;
             if (rank == leader) {
-                begin_order(leader, rank, std::move(o));
+                agents_[rank].begin_order(leader, std::move(o));
                 continue;
             }
             connection_of(leader, rank).to_member.push_back({std::nullopt, std::move(o)});
@@ -246,102 +234,43 @@
         }
         leader_message message = std::move(c.to_member.front());
         c.to_member.pop_front();
-        agent& a = agents_[rank];
+        testing::simulated_agent& a = agents_[rank];
         if (message.claim && a.fence_known) {
             a.promised = std::max(a.promised, *message.claim);
         }
         if (!message.order) {
             return;
         }
-        if (obeys(a, message.order->id)) {
-            begin_order(leader, rank, std::move(*message.order));
+        if (a.obeys(message.order->id)) {
+            a.begin_order(leader, std::move(*message.order));
         }
         else {
             answer(leader, rank, message.order->id, std::nullopt);
         }
     }
 
-    static bool obeys(const agent& a, const order_id& id)
-    {
-        return a.fence_known && id.term == a.promised;
-    }
-
-    void begin_order(std::size_t leader, std::size_t rank, addressed_order order)
-    {
-        agent& a = agents_[rank];
-        a.newest_order = std::max(a.newest_order, order.id);
-        a.orders.push_back({leader, std::move(order), 0});
-    }
-
     void answer(std::size_t leader, std::size_t rank, const order_id& id,
                 std::optional<order_result> result)
     {
-        const agent& a = agents_[rank];
+        const testing::simulated_agent& a = agents_[rank];
         if (a.state) {
             connection_of(leader, rank)
                 .to_leader.push_back({a.promised, a.read_under, *a.state, id, result});
         }
     }
 
-    // Like rank_executor, sends the first order once, and again later until it is answered.
     void attempt(std::size_t rank)
     {
-        agent& a = agents_[rank];
-        if (a.orders.empty()) {
-            return;
-        }
-        order_in_progress& o = a.orders.front();
-        const bool in_force = obeys(a, o.order.id) && o.order.id == a.newest_order;
-        std::optional<order_result> result;
-        if (in_force) {
-            result = send_to_engine(static_cast<std::uint32_t>(rank), o);
-            ++o.attempts;
-        }
-        if (in_force && !result && o.attempts < max_attempts) {
-            return;
-        }
-        const order_in_progress done = std::move(o);
-        a.orders.pop_front();
-        if (done.attempts > 0) {
-            a.state = group.state(static_cast<std::uint32_t>(rank));
-            a.read_under = done.order.id.term;
-        }
-        answer(done.leader, rank, done.order.id, result);
-    }
-
-    std::optional<order_result> send_to_engine(std::uint32_t rank, const order_in_progress& o)
-    {
-        const engine_order& order = o.order.order;
-        const std::size_t outcome = faults_disabled_ ? 7 : choose(8);
-        if (outcome == 0 || outcome == 2) {
-            late_orders_.emplace_back(rank, order);
+        testing::simulated_agent::choice engine_faults;
+        if (!faults_disabled_) {
+            engine_faults = [this](std::size_t bound) {
+                return choose(bound);
+            };
         }
-        if (outcome == 1) {
-            group.order(rank, order);
-        }
-        if (outcome == 2) {
-            group.begin_step();
-        }
-        const bool answered = outcome > 2;
-        const order_result result = answered ? group.order(rank, order) : order_result::refused;
-        if (answered && result != order_result::refused) {
-            return result;
-        }
-        const rank_state state = group.state(rank);
-        const bool accepted_before =
-            o.attempts > 0 && answered && order.kind == order_kind::load && !state.armed;
-        if (fulfilled(order, state) || accepted_before) {
-            return order_result::already;
-        }
-        return answered ? std::optional(order_result::refused) : std::nullopt;
-    }
-
-    void read_state(std::size_t rank)
-    {
-        agent& a = agents_[rank];
-        if (a.orders.empty() || a.orders.front().attempts == 0) {
-            a.state = group.state(static_cast<std::uint32_t>(rank));
-            a.read_under = a.promised;
+        const std::optional<testing::simulated_agent::finished_order> finished =
+            agents_[rank].attempt(engine_faults, late_orders_);
+        if (finished) {
+            answer(finished->leader, rank, finished->id, finished->result);
         }
     }
 
@@ -377,7 +306,7 @@
 
     void send_status(std::size_t leader, std::size_t rank)
     {
-        const agent& a = agents_[rank];
+        const testing::simulated_agent& a = agents_[rank];
         if (a.state) {
             connection_of(leader, rank)
                 .to_leader.push_back(
@@ -398,7 +327,7 @@
 
     void finish_orders(std::size_t rank)
     {
-        while (!agents_[rank].orders.empty()) {
+        while (!agents_[rank].idle()) {
             attempt(rank);
         }
     }
@@ -413,7 +342,7 @@
         }
         for (std::size_t rank = 0; rank < rank_count; ++rank) {
             group.finish_loading(static_cast<std::uint32_t>(rank));
-            read_state(rank);
+            agents_[rank].read_state();
             send_status(leader, rank);
             while (!connection_of(leader, rank).to_member.empty()) {
                 deliver_down(leader, rank);
@@ -491,7 +420,7 @@
         case 4:
             // The agent restarts. It obeys no leader until it has read the last term from the
             // store.
-            agents_[rank] = agent{};
+            agents_[rank] = testing::simulated_agent(static_cast<std::uint32_t>(rank), group);
             agents_[rank].fence_known = false;
             for (std::size_t l = 0; l < leader_count; ++l) {
                 disconnect(l, rank);
@@ -514,10 +443,10 @@
 
     testing::script& script_;
     std::minstd_rand details_;
-    std::array<agent, rank_count> agents_;
+    std::vector<testing::simulated_agent> agents_;
     std::array<leader_process, leader_count> leaders_;
     std::array<std::array<connection, rank_count>, leader_count> links_;
-    std::vector<std::pair<std::uint32_t, engine_order>> late_orders_;
+    testing::late_orders late_orders_;
     term last_term_;
     std::uint64_t proposals_ = 0;
     bool faults_disabled_ = false;
--- a/tests/soak/nodeprocess.cpp
+++ b/tests/soak/nodeprocess.cpp
@@ -1,6 +1,7 @@
 #include "soak/nodeprocess.h"
 
 #include "core/timer.h"
+#include "support/processmemory.h"
 
 #include <csignal>
 #include <fcntl.h>
@@ -68,18 +69,7 @@
 
 std::size_t node_process::peak_memory_bytes()
 {
-    if (!running()) {
-        return 0;
-    }
-    std::ifstream status("/proc/" + std::to_string(*pid_) + "/status");
-    std::string word;
-    std::size_t kilobytes = 0;
-    while (status >> word) {
-        if (word == "VmHWM:") {
-            status >> kilobytes;
-        }
-    }
-    return kilobytes * 1024;
+    return running() ? testing::peak_memory_bytes(std::to_string(*pid_)) : 0;
 }
 
 bool node_process::running()
