--- a/src/gateway/tests/tst_partreportexchange.cpp
+++ b/src/gateway/tests/tst_partreportexchange.cpp
@@ -36,7 +36,7 @@
         c.endpoint_incarnation = core::incarnation{incarnation};
         c.answer_begun = true;
         c.at = core::runtime_clock::now();
-        guard().on_crash("id", c);
+        guard().on_crash("id", admission::fingerprint("f"), c);
     }
 
     proxy::proxy_context context;
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -170,8 +170,7 @@
 core::task<void> endpoint_attempt<Dialect>::record_crash(const directory::endpoint_record& record)
 {
     const core::time_point failed_at = core::runtime_clock::now();
-    if (routed_.request.shared_parts.empty() || failed_at >= deadline() ||
-        !context_.endpoints.usable(record.endpoint)) {
+    if (failed_at >= deadline() || !context_.endpoints.usable(record.endpoint)) {
         co_return;
     }
     // An endpoint that loses an answer still accepts connections.
@@ -179,7 +178,7 @@
     const core::result<void> connected =
         co_await check.connect(record.address, failed_at + crash_check_timeout);
     if (!connected) {
-        service_.guard.on_crash(routed_.request.id,
+        service_.guard.on_crash(routed_.request.id, routed_.fingerprint,
                                 {routed_.request.shared_parts, record.endpoint, record.incarnation,
                                  head_received_, failed_at});
     }
--- a/src/proxy/partguard.cpp
+++ b/src/proxy/partguard.cpp
@@ -77,7 +77,8 @@
     publish_(report);
 }
 
-void part_guard::on_crash(const std::string& request, const admission::part_crash& crash)
+void part_guard::on_crash(const std::string& request, const admission::fingerprint& fingerprint,
+                          const admission::part_crash& crash)
 {
     core::counter_for("part_crashes_total").add();
     core::log_event("endpoint_crashed", core::log_event::level::warning)
@@ -85,6 +86,7 @@
         .field("endpoint", crash.endpoint)
         .field("endpoint_incarnation", crash.endpoint_incarnation)
         .field("request", request)
+        .field("fingerprint", fingerprint)
         .field("answer_begun", crash.answer_begun)
         .field("parts", core::join(crash.parts, ','));
     if (!suspects_.on_crash(crash)) {
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -288,6 +288,7 @@
     }
     core::log_event("attempt")
         .field("request", routed_.request.id)
+        .field("fingerprint", routed_.fingerprint)
         .field("number", attempts_)
         .field("endpoint", endpoint)
         .field("load", service_.queue.slot_scheduler().load_of(endpoint, now))
@@ -312,6 +313,7 @@
     }
     core::log_event("request")
         .field("request", routed_.request.id)
+        .field("fingerprint", routed_.fingerprint)
         .field("route", routed_.route->name)
         .field("service", routed_.service)
         .field("workspace", routed_.workspace == nullptr ? "" : routed_.workspace->name.str())
--- a/src/proxy/requesthandler.h
+++ b/src/proxy/requesthandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/hashing.h"
+#include "proxy/requestfingerprint.h"
 #include "proxy/requestflow.h"
 
 #include <limits>
@@ -66,6 +67,7 @@
     }
     routed_request routed;
     routed.request = request;
+    routed.fingerprint = fingerprint_of(request, workspace);
     routed.table = table;
     routed.route = route;
     routed.workspace = workspace;
--- a/src/proxy/routedrequest.h
+++ b/src/proxy/routedrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/crashtracker.h"
 #include "core/runtimeclock.h"
 #include "proxy/proxymessages.h"
 #include "routes/routetable.h"
@@ -11,6 +12,7 @@
 /// A request with its route, workspace and service, as selected when it was read.
 struct routed_request {
     caller_request request;
+    admission::fingerprint fingerprint;
     /// Keeps the route valid when the configuration changes.
     std::shared_ptr<const routes::route_table> table;
     const routes::route* route = nullptr;
