--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -113,12 +113,19 @@
 public:
     scripted_endpoint(asio::io_context& context, std::string name)
         : name_(std::move(name)),
-          acceptor_(context, asio::ip::tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0))
+          acceptor_(context, asio::ip::tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0)),
+          address_(acceptor_.local_endpoint())
     {
         core::spawn(context.get_executor(), accept());
     }
-    asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    asio::ip::tcp::endpoint address() const { return address_; }
     void stop_listening() { acceptor_.close(); }
+    /// Listens at the same address again, as after a restart.
+    void listen_again()
+    {
+        acceptor_ = asio::ip::tcp::acceptor(acceptor_.get_executor(), address_);
+        core::spawn(acceptor_.get_executor(), accept());
+    }
 
     std::deque<reply> replies;
     std::vector<std::string> received_requests;
@@ -187,6 +194,7 @@
 
     std::string name_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::endpoint address_;
 };
 
 /// Two scripted endpoints of one service, a gateway's request handler and one caller, on loopback.
@@ -201,6 +209,7 @@
     scripted_endpoint b{context, "b"};
     std::string answer;
     std::chrono::milliseconds route_timeout{1500};
+    std::uint64_t last_incarnation = 0;
 
     void setup() override
     {
@@ -235,31 +244,41 @@
             c.workspaces = {w};
         }
         shared.configuration.apply(std::move(c), core::boot_clock::now());
-        for (scripted_endpoint* e : {&a, &b}) {
-            directory::endpoint_record record;
-            record.endpoint = core::endpoint_id(e == &a ? "a" : "b");
-            record.service = core::service_id("s");
-            record.address = e->address();
-            // The own failure domain is preferred.
-            record.failure_domain = core::failure_domain_id(e == &a ? "fd" : "other");
-            record.concurrency = e == &a ? 100 : 1;
-            shared.endpoints.apply(record);
-        }
+        register_endpoint(a, core::incarnation{});
+        register_endpoint(b, core::incarnation{});
+    }
+    void register_endpoint(const scripted_endpoint& e, core::incarnation incarnation)
+    {
+        directory::endpoint_record record;
+        record.endpoint = core::endpoint_id(&e == &a ? "a" : "b");
+        record.service = core::service_id("s");
+        record.address = e.address();
+        // The own failure domain is preferred.
+        record.failure_domain = core::failure_domain_id(&e == &a ? "fd" : "other");
+        record.concurrency = &e == &a ? 100 : 1;
+        record.incarnation = incarnation;
+        shared.endpoints.apply(record);
         shared.apply_endpoints();
     }
+    /// Brings an endpoint that crashed back as another incarnation.
+    void restart(scripted_endpoint& e)
+    {
+        e.listen_again();
+        register_endpoint(e, core::incarnation{++last_incarnation});
+    }
     /// Sends a request and reads the answer until the connection ends.
-    void send_request(const std::string& extra_headers = "")
+    void send_request(const std::string& extra_headers = "", const std::string& target = "/x")
     {
         core::spawn(
             context.get_executor(),
             [](asio::io_context& c, asio::ip::tcp::endpoint to, std::string headers,
-               std::string& out) -> core::task<void> {
+               std::string path, std::string& out) -> core::task<void> {
                 asio::ip::tcp::socket s(c);
                 boost::system::error_code failure;
                 co_await s.async_connect(to, asio::redirect_error(asio::use_awaitable, failure));
                 const std::string request =
-                    "GET /x HTTP/1.1\r\nHost: desk\r\nId: 7\r\nConnection: close\r\n" + headers +
-                    "\r\n";
+                    "GET " + path + " HTTP/1.1\r\nHost: desk\r\nId: 7\r\nConnection: close\r\n" +
+                    headers + "\r\n";
                 co_await asio::async_write(s, asio::buffer(request), asio::use_awaitable);
                 std::array<char, 4096> bytes{};
                 while (!failure) {
@@ -268,7 +287,7 @@
                     out.append(bytes.data(), got);
                 }
                 c.stop();
-            }(context, callers.local_endpoint(), extra_headers, answer));
+            }(context, callers.local_endpoint(), extra_headers, target, answer));
         context.restart();
         context.run_for(10s);
     }
