Find the cause of crashes without running suspects apart

crash_tracker needed one crash of an endpoint where the request ran isolated from other suspects, which only the product's own path arranges, and knew an endpoint's process by its incarnation alone. On the platform an incarnation is the millisecond of a start, or nothing, so that two endpoints may have the same.

--- a/src/admission/crashtracker.cpp
+++ b/src/admission/crashtracker.cpp
@@ -22,33 +22,27 @@
 }
 
 void crash_tracker::on_endpoint_failure(const core::failure_domain_id& domain,
-                                        core::incarnation endpoint_incarnation, core::time_point at)
+                                        const endpoint_process& process, core::time_point at)
 {
-    const bool already_recorded =
-        std::any_of(failures_.begin(), failures_.end(),
-                    [&endpoint_incarnation](const endpoint_failure& failure) {
-                        return failure.incarnation == endpoint_incarnation;
-                    });
+    const bool already_recorded = std::any_of(
+        failures_.begin(), failures_.end(),
+        [&process](const endpoint_failure& failure) { return failure.process == process; });
     if (!already_recorded) {
-        failures_.push_back({domain, endpoint_incarnation, at});
+        failures_.push_back({domain, process, at});
     }
 }
 
 void crash_tracker::on_crash(const crash_record& record)
 {
-    on_endpoint_failure(record.failure_domain, record.endpoint_incarnation, record.at);
+    const endpoint_process process{record.endpoint, record.endpoint_incarnation};
+    on_endpoint_failure(record.failure_domain, process, record.at);
     if (!suspects_.contains(record.request) && suspects_.size() >= max_suspects) {
         return;
     }
     suspect_state& s = suspects_[record.request];
     s.workspace = record.workspace;
-    const bool already_recorded =
-        std::any_of(s.crashes.begin(), s.crashes.end(), [&record](const observed_crash& crash) {
-            return crash.incarnation == record.endpoint_incarnation;
-        });
-    if (!already_recorded) {
-        s.crashes.push_back({record.endpoint, record.failure_domain, record.endpoint_incarnation,
-                             record.isolated, record.at});
+    if (!was_running_on(s, process)) {
+        s.crashes.push_back({process, record.failure_domain, record.isolated, record.at});
     }
 }
 
@@ -79,29 +73,46 @@
             continue;
         }
         ++failures;
-        failures_with_request += std::any_of(s.crashes.begin(), s.crashes.end(),
-                                             [&failure](const observed_crash& other) {
-                                                 return other.incarnation == failure.incarnation;
-                                             });
+        failures_with_request += was_running_on(s, failure.process);
     }
     // Many simultaneous failures have an external cause, unless this request was running on every
     // endpoint that failed.
     return failures >= mass_failure_threshold && failures_with_request < failures;
 }
 
+bool crash_tracker::was_running_on(const suspect_state& s, const endpoint_process& process)
+{
+    return std::any_of(s.crashes.begin(), s.crashes.end(), [&process](const observed_crash& crash) {
+        return crash.process == process;
+    });
+}
+
+bool crash_tracker::is_most_suspect(const suspect_state& s, const observed_crash& crash) const
+{
+    return std::none_of(suspects_.begin(), suspects_.end(),
+                        [&s, &crash](const std::pair<const fingerprint, suspect_state>& other) {
+                            return &other.second != &s &&
+                                   other.second.crashes.size() >= s.crashes.size() &&
+                                   was_running_on(other.second, crash.process);
+                        });
+}
+
 bool crash_tracker::is_confirmed(const suspect_state& s, core::time_point now) const
 {
+    if (s.crashes.size() < 2) {
+        return false;
+    }
     std::size_t confirmed_crashes = 0;
-    bool isolated = false;
+    bool only_cause = false;
     for (const observed_crash& crash : s.crashes) {
         const bool window_elapsed = now - crash.at > mass_failure_window;
         if (!window_elapsed || in_mass_failure(s, crash)) {
             continue;
         }
         ++confirmed_crashes;
-        isolated = isolated || crash.isolated;
+        only_cause = only_cause || crash.isolated || is_most_suspect(s, crash);
     }
-    return confirmed_crashes >= 2 && isolated;
+    return confirmed_crashes >= 2 && only_cause;
 }
 
 suspicion_level crash_tracker::suspicion_of(const fingerprint& request, core::time_point now) const
@@ -126,24 +137,45 @@
 std::vector<quarantine_finding> crash_tracker::take_findings(core::time_point now)
 {
     std::vector<quarantine_finding> findings;
-    for (auto it = suspects_.begin(); it != suspects_.end();) {
-        const suspect_state& s = it->second;
+    std::vector<observed_crash> explained;
+    for (const std::pair<const fingerprint, suspect_state>& entry : suspects_) {
+        const suspect_state& s = entry.second;
         if (!is_confirmed(s, now)) {
-            ++it;
             continue;
         }
-        quarantine_finding finding{it->first, s.workspace, {}};
+        quarantine_finding finding{entry.first, s.workspace, {}};
         for (const observed_crash& crash : s.crashes) {
-            finding.evidence.push_back(crash.endpoint.str() + "/" +
-                                       std::to_string(crash.incarnation.value));
+            finding.evidence.push_back(crash.process.endpoint.str() + "/" +
+                                       std::to_string(crash.process.incarnation.value));
         }
-        quarantined_.insert(it->first);
+        explained.insert(explained.end(), s.crashes.begin(), s.crashes.end());
         findings.push_back(std::move(finding));
-        it = suspects_.erase(it);
     }
+    for (const quarantine_finding& finding : findings) {
+        quarantined_.insert(finding.request);
+        suspects_.erase(finding.request);
+    }
+    explain(explained);
     return findings;
 }
 
+void crash_tracker::explain(const std::vector<observed_crash>& crashes)
+{
+    if (crashes.empty()) {
+        return;
+    }
+    for (std::pair<const fingerprint, suspect_state>& entry : suspects_) {
+        std::erase_if(entry.second.crashes, [&crashes](const observed_crash& c) {
+            return std::any_of(crashes.begin(), crashes.end(), [&c](const observed_crash& known) {
+                return known.process == c.process;
+            });
+        });
+    }
+    std::erase_if(suspects_, [](const std::pair<const fingerprint, suspect_state>& entry) {
+        return entry.second.crashes.empty();
+    });
+}
+
 void crash_tracker::expire(core::time_point now)
 {
     std::erase_if(suspects_, [now](const std::pair<const fingerprint, suspect_state>& entry) {
@@ -156,4 +188,22 @@
     }
 }
 
+std::size_t crash_tracker::crash_count(const fingerprint& request) const
+{
+    const auto found = suspects_.find(request);
+    return found == suspects_.end() ? 0 : found->second.crashes.size();
+}
+
+std::vector<crash_record> crash_tracker::records() const
+{
+    std::vector<crash_record> all;
+    for (const std::pair<const fingerprint, suspect_state>& entry : suspects_) {
+        for (const observed_crash& c : entry.second.crashes) {
+            all.push_back({entry.first, entry.second.workspace, c.process.endpoint,
+                           c.failure_domain, c.process.incarnation, c.isolated, c.at});
+        }
+    }
+    return all;
+}
+
 } // namespace currantpitch::admission
--- a/src/admission/tests/tst_crashtracker.cpp
+++ b/src/admission/tests/tst_crashtracker.cpp
@@ -94,6 +94,42 @@
     CHECK(findings[0].request.str() == "bad");
 }
 
+TEST(crashes, request_that_was_at_most_failed_endpoints_is_the_cause)
+{
+    tracker.on_crash(make_crash("bad", 1, false, start));
+    tracker.on_crash(make_crash("by", 1, false, start));
+    tracker.on_crash(make_crash("bad", 2, false, start + 2s));
+    tracker.on_crash(make_crash("other", 2, false, start + 2s));
+    const std::vector<quarantine_finding> findings = tracker.take_findings(start + 10s);
+    LONGS_EQUAL(1, findings.size());
+    CHECK(findings[0].request.str() == "bad");
+}
+
+TEST(crashes, requests_at_the_same_failures_are_told_apart_by_the_next)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 2; ++endpoint) {
+        tracker.on_crash(make_crash("bad", endpoint, false, start + endpoint * 2s));
+        tracker.on_crash(make_crash("by", endpoint, false, start + endpoint * 2s));
+    }
+    CHECK(tracker.take_findings(start + 10s).empty());
+    tracker.on_crash(make_crash("bad", 3, false, start + 20s));
+    LONGS_EQUAL(1, tracker.take_findings(start + 30s).size());
+    CHECK(tracker.take_findings(start + 31s).empty());
+    now = start + 31s;
+    CHECK(level_of("by") == suspicion_level::clear);
+}
+
+// Endpoints of the platform may start in the same millisecond, which is their incarnation.
+TEST(crashes, endpoints_with_the_same_incarnation_are_told_apart)
+{
+    crash_record second = make_crash("bad", 1, false, start + 2s);
+    second.endpoint = core::endpoint_id("another");
+    tracker.on_crash(make_crash("bad", 1, false, start));
+    tracker.on_crash(second);
+    LONGS_EQUAL(2, tracker.crash_count(fingerprint("bad")));
+    LONGS_EQUAL(1, tracker.take_findings(start + 10s).size());
+}
+
 TEST(crashes, suspicion_and_quarantine_end)
 {
     tracker.on_crash(make_crash("bad", 1, false, start));
@@ -171,7 +207,10 @@
                 crashes.emplace_back(now, e % 3);
             }
             const core::failure_domain_id domain("fd" + std::to_string(e % 3));
-            tracker.on_endpoint_failure(domain, core::incarnation{incarnation[e]}, now);
+            tracker.on_endpoint_failure(domain,
+                                        {core::endpoint_id("e" + std::to_string(incarnation[e])),
+                                         core::incarnation{incarnation[e]}},
+                                        now);
             for (const std::string& r : running[e]) {
                 tracker.on_crash(make_crash(r, incarnation[e], isolated_on[e] == r, now, domain));
             }
--- a/src/entry/agentdirectory.cpp
+++ b/src/entry/agentdirectory.cpp
@@ -151,12 +151,12 @@
     if (load) {
         state.concurrency = std::max<std::uint32_t>(load->report.concurrency, 1);
         state.report = routing::reported_load{load->report.running, load->received_at};
-        report_endpoint_restart(e, load->report);
+        report_endpoint_restart(id, e, load->report);
     }
     context_.service(e.service).pool.update(std::move(state));
 }
 
-void agent_directory::report_endpoint_restart(connected_endpoint& e,
+void agent_directory::report_endpoint_restart(const core::endpoint_id& id, connected_endpoint& e,
                                               const sessions::load_report& load)
 {
     const core::incarnation before = e.endpoint_incarnation;
@@ -165,7 +165,8 @@
     }
     e.endpoint_incarnation = load.endpoint_incarnation;
     if (before != core::incarnation{}) {
-        context_.crashes.on_endpoint_failure(e.failure_domain, before, core::runtime_clock::now());
+        context_.crashes.on_endpoint_failure(e.failure_domain, {id, before},
+                                             core::runtime_clock::now());
     }
 }
 
--- a/src/entry/agentdirectory.h
+++ b/src/entry/agentdirectory.h
@@ -55,7 +55,8 @@
              const intents::host_spec& host);
     void remove(const core::endpoint_id& id);
     void refresh(const core::endpoint_id& id);
-    void report_endpoint_restart(connected_endpoint& e, const sessions::load_report& load);
+    void report_endpoint_restart(const core::endpoint_id& id, connected_endpoint& e,
+                                 const sessions::load_report& load);
     std::vector<objectstore::object> configuration_for(const core::endpoint_id& id) const;
     void send_configuration(const core::endpoint_id& id, bool new_session);
 
