Hold back requests that crash endpoints at every gateway

Cause, hypothesis 1: a gateway charged each crash to the endpoint and never to the request. Evidence was kept for parts of prompts only; the evidence on whole requests, crash_tracker, served the other front end alone.

Now each gateway keeps a crash_tracker for all its services, by the fingerprint of the request, and tells its peers of crashes, answers and probes at once, and a peer that connects later of all it knows. Two crashes hold a request back for 30 s; then one probe decides, and each that crashes prolongs the hold tenfold, up to 30 minutes. A held request gets a 503 at once, with the time to return. Evidence is a connection that ended without the answer and an endpoint that then refuses connections: one that lost an answer or is cut off does not refuse. Only an answer without a failure clears a request. The same rule for what a crash is holds for parts of prompts.

--- a/src/admission/admissionconstants.h
+++ b/src/admission/admissionconstants.h
@@ -37,22 +37,24 @@
 inline constexpr std::chrono::minutes quarantine_lifetime{30};
 /// Maximum number of suspect requests that a process tracks.
 inline constexpr std::size_t max_suspects = 10000;
+/// Maximum number of requests that a process holds back.
+inline constexpr std::size_t max_held_requests = 1024;
 
 /// Weight of a crash as evidence against the parts of a request that made no progress: the endpoint
 /// had begun to answer it, or had not yet.
 inline constexpr unsigned begun_answer_weight = 2;
 inline constexpr unsigned unbegun_answer_weight = 1;
-/// Time for which a suspected part is held back after its first crash, and its factor after each
-/// further one. A probe that crashes its endpoint stops a whole group of engines for seconds.
-inline constexpr std::chrono::seconds initial_part_hold{30};
+/// Time for which a suspected part or request is held back first, and its factor after each probe
+/// that crashes. A probe that crashes its endpoint stops a whole group of engines for seconds.
+inline constexpr std::chrono::seconds initial_hold{30};
 /// The same where the endpoint ran other requests that may have crashed it as well.
-inline constexpr std::chrono::seconds initial_ambiguous_part_hold{5};
-inline constexpr int part_hold_growth = 10;
-inline constexpr std::chrono::minutes max_part_hold{30};
-/// Time within which a probe of a suspected part shows whether its endpoint crashes.
-inline constexpr std::chrono::seconds part_probe_timeout{3};
+inline constexpr std::chrono::seconds initial_ambiguous_hold{5};
+inline constexpr int hold_growth = 10;
+inline constexpr std::chrono::minutes max_hold{30};
+/// Time within which a probe shows whether its endpoint crashes.
+inline constexpr std::chrono::seconds probe_timeout{3};
 /// Time after which a crash is no longer evidence.
-inline constexpr std::chrono::minutes part_suspicion_lifetime{60};
+inline constexpr std::chrono::minutes crash_evidence_lifetime{60};
 /// Maximum number of crashes on record for a service.
 inline constexpr std::size_t max_part_crashes = 256;
 /// Maximum number of parts of a service whose progress is on record.
--- a/src/admission/admissionmessages.h
+++ b/src/admission/admissionmessages.h
@@ -15,6 +15,7 @@
     crash_report_type = 65,
     suspicion_clearance_type = 66,
     part_report_type = 67,
+    suspicion_report_type = 68,
 };
 
 /// Demand of one workspace for one service.
@@ -118,4 +119,35 @@
     archive(m.service, m.crashes, m.progress, m.probed, m.is_reply);
 }
 
+/// A request that an entry holds back, see request_hold.
+struct reported_hold {
+    std::string fingerprint;
+    core::workspace_id workspace;
+    /// Time from the latest crash, and times until the end of the hold and of its probe, as seen
+    /// when the report was sent.
+    std::chrono::milliseconds age{};
+    std::chrono::milliseconds held_for{};
+    unsigned failed_probes = 0;
+    std::chrono::milliseconds probed_for{};
+};
+template <class Archive>
+void describe(Archive& archive, reported_hold& m)
+{
+    archive(m.fingerprint, m.workspace, m.age, m.held_for, m.failed_probes, m.probed_for);
+}
+
+/// What an entry knows of requests that may crash endpoints. Sent to the other entries.
+struct suspicion_report {
+    static constexpr std::uint8_t type = suspicion_report_type;
+    std::vector<crash_report> crashes;
+    std::vector<suspicion_clearance> cleared;
+    /// The holds known to an entry, or a single one whose probe begins.
+    std::vector<reported_hold> holds;
+};
+template <class Archive>
+void describe(Archive& archive, suspicion_report& m)
+{
+    archive(m.crashes, m.cleared, m.holds);
+}
+
 } // namespace currantpitch::admission
--- a/src/admission/partsuspects.cpp
+++ b/src/admission/partsuspects.cpp
@@ -1,6 +1,7 @@
 #include "admission/partsuspects.h"
 
 #include "admission/admissionconstants.h"
+#include "admission/holdtime.h"
 
 #include <algorithm>
 
@@ -8,16 +9,6 @@
 
 namespace {
 
-/// Time for which suspects are held back after a crash that many probes have confirmed.
-core::duration hold_after(unsigned failed_probes, bool ambiguous)
-{
-    core::duration time = ambiguous ? initial_ambiguous_part_hold : initial_part_hold;
-    for (unsigned n = 0; n < failed_probes && time < max_part_hold; ++n) {
-        time *= part_hold_growth;
-    }
-    return std::min<core::duration>(time, max_part_hold);
-}
-
 unsigned weight_of(const part_crash& crash)
 {
     return crash.answer_begun ? begun_answer_weight : unbegun_answer_weight;
@@ -108,7 +99,7 @@
             if (e.weight_by_time == 0 || since_last > mass_failure_window) {
                 episode_weight = 0;
             }
-            if (e.weight_by_time > 0 && since_last >= initial_part_hold) {
+            if (e.weight_by_time > 0 && since_last >= initial_hold) {
                 ++e.failed_probes;
             }
             e.weight_by_time += raise(episode_weight, weight_of(crash));
@@ -172,8 +163,9 @@
         for (const std::pair<const part_set, evidence>& cause : sets) {
             const evidence& e = cause.second;
             hold& set = updated[cause.first];
-            set.held_until = std::max(
-                set.held_until, e.last_crash_at + hold_after(e.failed_probes, sets.size() > 1));
+            const core::duration initial = sets.size() > 1 ? initial_ambiguous_hold : initial_hold;
+            set.held_until =
+                std::max(set.held_until, e.last_crash_at + hold_after(e.failed_probes, initial));
             const auto before = suspects_.find(cause.first);
             if (before != suspects_.end()) {
                 set.probed_until = before->second.probed_until;
@@ -199,14 +191,14 @@
     return found;
 }
 
-part_verdict part_suspects::verdict(const std::vector<core::prompt_part_id>& parts,
-                                    core::time_point now) const
+suspect_verdict part_suspects::verdict(const std::vector<core::prompt_part_id>& parts,
+                                       core::time_point now) const
 {
     if (sets_in(parts).empty()) {
-        return part_verdict::admit;
+        return suspect_verdict::admit;
     }
-    return hold_time(parts, now) > core::duration::zero() ? part_verdict::refuse
-                                                          : part_verdict::probe;
+    return hold_time(parts, now) > core::duration::zero() ? suspect_verdict::refuse
+                                                          : suspect_verdict::probe;
 }
 
 core::duration part_suspects::hold_time(const std::vector<core::prompt_part_id>& parts,
@@ -224,7 +216,7 @@
                                 core::time_point now)
 {
     for (const part_set* const suspected : sets_in(parts)) {
-        suspects_.at(*suspected).probed_until = now + part_probe_timeout;
+        suspects_.at(*suspected).probed_until = now + probe_timeout;
     }
 }
 
@@ -238,7 +230,7 @@
 void part_suspects::expire(core::time_point now)
 {
     const std::size_t dropped = std::erase_if(crashes_, [now](const part_crash& crash) {
-        return now - crash.at > part_suspicion_lifetime;
+        return now - crash.at > crash_evidence_lifetime;
     });
     if (dropped > 0) {
         update_suspects();
--- a/src/admission/partsuspects.h
+++ b/src/admission/partsuspects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/recentparts.h"
+#include "admission/suspectverdict.h"
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
 
@@ -23,13 +24,6 @@
     core::time_point at;
 };
 
-/// What to do with a request because of the parts of its prompt.
-enum class part_verdict {
-    admit,  ///< not suspected, or too little is known of which of its parts is to blame
-    probe,  ///< suspected, and held back long enough for one request to find out
-    refuse, ///< suspected of crashing the endpoint that would run it
-};
-
 /// Finds the parts of prompts that crash each endpoint which begins an answer on them. The
 /// evidence against a part is a crash of an endpoint with a request that contains it and has made
 /// no progress; any progress of another request with the part clears it. Several parts that are
@@ -51,8 +45,8 @@
     std::vector<core::prompt_part_id> on_progress(const std::vector<core::prompt_part_id>& parts,
                                                   core::time_point at);
 
-    part_verdict verdict(const std::vector<core::prompt_part_id>& parts,
-                         core::time_point now) const;
+    suspect_verdict verdict(const std::vector<core::prompt_part_id>& parts,
+                            core::time_point now) const;
     /// Time after which a refused request with these parts may be tried again.
     core::duration hold_time(const std::vector<core::prompt_part_id>& parts,
                              core::time_point now) const;
@@ -66,7 +60,7 @@
     {
         return progress_.find(part);
     }
-    /// Drops crashes older than part_suspicion_lifetime.
+    /// Drops crashes older than crash_evidence_lifetime.
     void expire(core::time_point now);
     /// The crashes on record, oldest first.
     const std::vector<part_crash>& crashes() const { return crashes_; }
--- a/src/admission/tests/tst_partsuspects.cpp
+++ b/src/admission/tests/tst_partsuspects.cpp
@@ -41,7 +41,7 @@
     part_suspects suspects;
     core::time_point now{1h};
 
-    part_verdict verdict(const std::vector<std::string>& names) const
+    suspect_verdict verdict(const std::vector<std::string>& names) const
     {
         return suspects.verdict(parts(names), now);
     }
@@ -51,40 +51,40 @@
 {
     suspects.on_progress(parts({"first"}), now - 1s);
     CHECK(suspects.on_crash(crash_of({"first", "bad"}, 1, now)));
-    CHECK(verdict({"first", "bad"}) == part_verdict::refuse);
-    CHECK(verdict({"other", "bad", "more"}) == part_verdict::refuse);
-    CHECK(verdict({"first"}) == part_verdict::admit);
-    CHECK(verdict({}) == part_verdict::admit);
-    CHECK(suspects.hold_time(parts({"bad"}), now) == initial_part_hold);
+    CHECK(verdict({"first", "bad"}) == suspect_verdict::refuse);
+    CHECK(verdict({"other", "bad", "more"}) == suspect_verdict::refuse);
+    CHECK(verdict({"first"}) == suspect_verdict::admit);
+    CHECK(verdict({}) == suspect_verdict::admit);
+    CHECK(suspects.hold_time(parts({"bad"}), now) == initial_hold);
 }
 
 TEST(part_suspicions, parts_that_were_only_seen_together_are_told_apart_by_progress)
 {
     suspects.on_crash(crash_of({"first", "bad"}, 1, now));
-    CHECK(verdict({"first", "bad"}) == part_verdict::refuse);
-    CHECK(verdict({"first", "other"}) == part_verdict::admit);
+    CHECK(verdict({"first", "bad"}) == suspect_verdict::refuse);
+    CHECK(verdict({"first", "other"}) == suspect_verdict::admit);
     CHECK(suspects.on_progress(parts({"first", "other"}), now + 1s) == parts({"first"}));
-    CHECK(verdict({"second", "bad"}) == part_verdict::refuse);
-    CHECK(verdict({"first"}) == part_verdict::admit);
+    CHECK(verdict({"second", "bad"}) == suspect_verdict::refuse);
+    CHECK(verdict({"first"}) == suspect_verdict::admit);
 }
 
 TEST(part_suspicions, bad_first_part_is_found_although_its_requests_differ_otherwise)
 {
     suspects.on_crash(crash_of({"bad", "a"}, 1, now));
-    CHECK(verdict({"bad", "b"}) == part_verdict::admit);
+    CHECK(verdict({"bad", "b"}) == suspect_verdict::admit);
     now += 2s;
     suspects.on_crash(crash_of({"bad", "b"}, 2, now));
-    CHECK(verdict({"bad", "c"}) == part_verdict::refuse);
-    CHECK(verdict({"a"}) == part_verdict::admit);
-    CHECK(verdict({"b"}) == part_verdict::admit);
+    CHECK(verdict({"bad", "c"}) == suspect_verdict::refuse);
+    CHECK(verdict({"a"}) == suspect_verdict::admit);
+    CHECK(verdict({"b"}) == suspect_verdict::admit);
 }
 
 TEST(part_suspicions, endpoints_that_crash_together_tell_the_common_part)
 {
     suspects.on_crash(crash_of({"a", "bad"}, 1, now));
     suspects.on_crash(crash_of({"b", "bad"}, 2, now + 10ms));
-    CHECK(verdict({"c", "bad"}) == part_verdict::refuse);
-    CHECK(verdict({"a"}) == part_verdict::admit);
+    CHECK(verdict({"c", "bad"}) == suspect_verdict::refuse);
+    CHECK(verdict({"a"}) == suspect_verdict::admit);
 }
 
 TEST(part_suspicions, part_with_progress_is_not_suspected_for_one_mass_failure)
@@ -94,10 +94,10 @@
         suspects.on_crash(crash_of({"common"}, endpoint, now + endpoint * 20ms));
     }
     now += 200ms;
-    CHECK(verdict({"common"}) == part_verdict::admit);
+    CHECK(verdict({"common"}) == suspect_verdict::admit);
     now += 5s;
     suspects.on_crash(crash_of({"common"}, 7, now));
-    CHECK(verdict({"common"}) == part_verdict::refuse);
+    CHECK(verdict({"common"}) == suspect_verdict::refuse);
 }
 
 TEST(part_suspicions, progress_between_crashes_speaks_for_a_part)
@@ -106,43 +106,43 @@
         suspects.on_progress(parts({"common"}), now);
         suspects.on_crash(crash_of({"common"}, endpoint, now + 1s));
         now += 2s;
-        CHECK(verdict({"common"}) == part_verdict::admit);
+        CHECK(verdict({"common"}) == suspect_verdict::admit);
     }
 }
 
 TEST(part_suspicions, one_crash_before_an_answer_began_does_not_suffice)
 {
     suspects.on_crash(crash_of({"rare"}, 1, now, false));
-    CHECK(verdict({"rare"}) == part_verdict::admit);
+    CHECK(verdict({"rare"}) == suspect_verdict::admit);
     now += 5s;
     suspects.on_crash(crash_of({"rare"}, 2, now, false));
-    CHECK(verdict({"rare"}) == part_verdict::refuse);
+    CHECK(verdict({"rare"}) == suspect_verdict::refuse);
 }
 
 TEST(part_suspicions, part_that_is_suspected_wrongly_is_cleared_by_a_probe)
 {
     suspects.on_crash(crash_of({"rare"}, 1, now));
-    now += initial_part_hold;
-    CHECK(verdict({"rare"}) == part_verdict::probe);
+    now += initial_hold;
+    CHECK(verdict({"rare"}) == suspect_verdict::probe);
     suspects.begin_probe(parts({"rare"}), now);
-    CHECK(verdict({"rare"}) == part_verdict::refuse);
+    CHECK(verdict({"rare"}) == suspect_verdict::refuse);
     suspects.end_probe(parts({"rare"}));
-    CHECK(verdict({"rare"}) == part_verdict::probe);
+    CHECK(verdict({"rare"}) == suspect_verdict::probe);
     suspects.begin_probe(parts({"rare"}), now);
     suspects.on_progress(parts({"rare"}), now + 100ms);
-    CHECK(verdict({"rare"}) == part_verdict::admit);
+    CHECK(verdict({"rare"}) == suspect_verdict::admit);
     CHECK(suspects.suspects().empty());
 }
 
 TEST(part_suspicions, hold_grows_with_each_crash_up_to_its_maximum)
 {
-    core::duration expected = initial_part_hold;
+    core::duration expected = initial_hold;
     for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
-        CHECK(verdict({"bad"}) != part_verdict::refuse);
+        CHECK(verdict({"bad"}) != suspect_verdict::refuse);
         suspects.on_crash(crash_of({"bad"}, endpoint, now));
         CHECK(suspects.hold_time(parts({"bad"}), now) == expected);
         now += expected;
-        expected = std::min<core::duration>(expected * part_hold_growth, max_part_hold);
+        expected = std::min<core::duration>(expected * hold_growth, max_hold);
     }
 }
 
@@ -151,7 +151,7 @@
     CHECK(suspects.on_crash(crash_of({"rare"}, 1, now, false)));
     CHECK(!suspects.on_crash(crash_of({"rare"}, 1, now + 5ms, false)));
     CHECK(suspects.on_crash(crash_of({"rare", "more"}, 1, now + 5ms, false)));
-    CHECK(verdict({"rare"}) == part_verdict::admit);
+    CHECK(verdict({"rare"}) == suspect_verdict::admit);
 }
 
 // Endpoints that fail one after the other, while nothing makes progress, must not cut off what most
@@ -163,7 +163,7 @@
         now += 1s;
         suspects.on_crash(crash_of({"common"}, endpoint, now, false));
     }
-    CHECK(verdict({"common"}) == part_verdict::admit);
+    CHECK(verdict({"common"}) == suspect_verdict::admit);
 }
 
 TEST(part_suspicions, hold_does_not_grow_before_a_probe)
@@ -172,19 +172,19 @@
         now += 1s;
         suspects.on_crash(crash_of({"rare"}, endpoint, now));
     }
-    CHECK(suspects.hold_time(parts({"rare"}), now) == initial_part_hold);
+    CHECK(suspects.hold_time(parts({"rare"}), now) == initial_hold);
 }
 
 TEST(part_suspicions, request_beside_the_cause_of_a_crash_is_released_when_the_cause_is_known)
 {
     suspects.on_crash(crash_of({"bad"}, 1, now));
     suspects.on_crash(crash_of({"rare"}, 1, now));
-    CHECK(suspects.hold_time(parts({"bad"}), now) == initial_ambiguous_part_hold);
-    CHECK(suspects.hold_time(parts({"rare"}), now) == initial_ambiguous_part_hold);
-    now += initial_ambiguous_part_hold;
+    CHECK(suspects.hold_time(parts({"bad"}), now) == initial_ambiguous_hold);
+    CHECK(suspects.hold_time(parts({"rare"}), now) == initial_ambiguous_hold);
+    now += initial_ambiguous_hold;
     suspects.on_crash(crash_of({"bad"}, 2, now));
-    CHECK(verdict({"bad"}) == part_verdict::refuse);
-    CHECK(verdict({"rare"}) == part_verdict::admit);
+    CHECK(verdict({"bad"}) == suspect_verdict::refuse);
+    CHECK(verdict({"rare"}) == suspect_verdict::admit);
 }
 
 TEST(part_suspicions, cause_of_a_crash_is_held_back_for_longer_when_the_others_are_cleared)
@@ -192,16 +192,16 @@
     suspects.on_crash(crash_of({"bad"}, 1, now));
     suspects.on_crash(crash_of({"rare"}, 1, now));
     suspects.on_progress(parts({"rare"}), now + 1s);
-    CHECK(verdict({"rare"}) == part_verdict::admit);
-    CHECK(suspects.hold_time(parts({"bad"}), now) == initial_part_hold);
+    CHECK(verdict({"rare"}) == suspect_verdict::admit);
+    CHECK(suspects.hold_time(parts({"bad"}), now) == initial_hold);
 }
 
 TEST(part_suspicions, old_crashes_are_forgotten)
 {
     suspects.on_crash(crash_of({"bad"}, 1, now));
-    now += part_suspicion_lifetime + 1s;
+    now += crash_evidence_lifetime + 1s;
     suspects.expire(now);
-    CHECK(verdict({"bad"}) == part_verdict::admit);
+    CHECK(verdict({"bad"}) == suspect_verdict::admit);
     CHECK(suspects.crashes().empty());
 }
 
@@ -254,8 +254,8 @@
         }
         const bool steady = now > begin + 12s;
         result.sound_sent += !bad && steady ? 1 : 0;
-        const part_verdict verdict = suspects.verdict(parts(names), now);
-        if (verdict == part_verdict::refuse) {
+        const suspect_verdict verdict = suspects.verdict(parts(names), now);
+        if (verdict == suspect_verdict::refuse) {
             result.sound_refused += !bad && steady ? 1 : 0;
             continue;
         }
@@ -320,7 +320,7 @@
         }
         const bool counted = !bad && now >= begin + 4s;
         sent += counted ? 1 : 0;
-        if (now < group_back_at || suspects.verdict(parts(names), now) == part_verdict::refuse) {
+        if (now < group_back_at || suspects.verdict(parts(names), now) == suspect_verdict::refuse) {
             continue;
         }
         if (bad) {
--- a/src/gateway/evidenceexchange.h
+++ b/src/gateway/evidenceexchange.h
@@ -7,17 +7,20 @@
 
 namespace currantpitch::gateway {
 
-/// Exchanges reports on parts of prompts with the peers, so that a part that crashed an endpoint
-/// through one entry is suspected at all of them.
-class part_report_exchange {
+/// Exchanges with the peers the evidence against requests and parts of prompts that crash
+/// endpoints, so that what was seen through one entry is suspected at all of them.
+class evidence_exchange {
 public:
-    part_report_exchange(proxy::proxy_context& context, membership::peer_hub& hub);
+    evidence_exchange(proxy::proxy_context& context, membership::peer_hub& hub);
 
     /// Tells a peer that has just connected what is known.
     void on_peer_up(const core::host_id& peer);
-    void on_report(const core::host_id& peer, const std::string& payload);
+    /// Handles a report on parts or requests. Returns false for any other type.
+    bool on_message(const core::host_id& peer, std::uint8_t type, const std::string& payload);
 
 private:
+    void on_part_report(const core::host_id& peer, const admission::part_report& report);
+
     proxy::proxy_context& context_;
     membership::peer_hub& hub_;
 };
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "gateway/configurationexchange.h"
+#include "gateway/evidenceexchange.h"
 #include "gateway/feedsinks.h"
 #include "gateway/gatewayconstants.h"
 #include "gateway/metricshandler.h"
-#include "gateway/partreportexchange.h"
 #include "gateway/signalexchange.h"
 #include "intents/hostregistration.h"
 #include "membership/peerhub.h"
@@ -68,7 +68,7 @@
     proxy::proxy_context context_;
     entry_roster roster_;
     std::shared_ptr<membership::peer_hub> hub_;
-    part_report_exchange part_reports_;
+    evidence_exchange evidence_;
     signal_exchange endpoint_signals_;
     typename Site::store store_;
     configuration_sink<Site> configuration_sink_;
@@ -109,7 +109,7 @@
       hub_(std::make_shared<membership::peer_hub>(
           executor,
           membership::peer_hello{settings_.host, settings_.failure_domain, incarnation_})),
-      part_reports_(context_, *hub_), endpoint_signals_(settings_.host, context_, *hub_),
+      evidence_(context_, *hub_), endpoint_signals_(settings_.host, context_, *hub_),
       store_(executor, settings_.store_address),
       configuration_sink_(context_, [this] { context_.apply_endpoints(); }),
       configurations_(configuration_sink_, *hub_), endpoint_sink_(context_),
@@ -130,7 +130,7 @@
     };
     hub_->on_peer_up = [this](const membership::peer_hello& h) {
         core::log_event("peer_up").field("peer", h.host).field("incarnation", h.incarnation);
-        part_reports_.on_peer_up(h.host);
+        evidence_.on_peer_up(h.host);
         endpoint_signals_.on_peer_up(h.host);
         configurations_.on_peer_up(h.host);
     };
@@ -249,11 +249,8 @@
 void gateway_node<Site>::on_peer_message(const core::host_id& peer, std::uint8_t type,
                                          const std::string& payload)
 {
-    if (type == admission::part_report_type) {
-        part_reports_.on_report(peer, payload);
-        return;
-    }
-    if (endpoint_signals_.on_message(peer, type, payload) ||
+    if (evidence_.on_message(peer, type, payload) ||
+        endpoint_signals_.on_message(peer, type, payload) ||
         configurations_.on_message(peer, type, payload)) {
         return;
     }
@@ -334,6 +331,7 @@
             s.queue.process_waiting();
             s.guard.expire(now);
         }
+        context_.requests.update(now);
         core::gauge_for("requests_in_flight").set(static_cast<double>(context_.in_flight));
         core::gauge_for("idle_connections").set(static_cast<double>(context_.connections.size()));
         core::gauge_for("configuration_age_ms")
--- a/src/gateway/tests/tst_evidenceexchange.cpp
+++ b/src/gateway/tests/tst_evidenceexchange.cpp
@@ -1,7 +1,7 @@
 #include "hubprocess.h"
 
 #include "core/eventlog.h"
-#include "gateway/partreportexchange.h"
+#include "gateway/evidenceexchange.h"
 
 using namespace currantpitch;
 using namespace currantpitch::testing;
@@ -22,9 +22,9 @@
         process.hub->on_peer_up = [this](const membership::peer_hello& h) {
             exchange.on_peer_up(h.host);
         };
-        process.hub->on_message = [this](const core::host_id& peer, std::uint8_t,
+        process.hub->on_message = [this](const core::host_id& peer, std::uint8_t type,
                                          const std::string& payload) {
-            exchange.on_report(peer, payload);
+            exchange.on_message(peer, type, payload);
         };
     }
     proxy::part_guard& guard() { return context.service(tutor).guard; }
@@ -36,17 +36,24 @@
         c.endpoint_incarnation = core::incarnation{incarnation};
         c.answer_begun = true;
         c.at = core::runtime_clock::now();
-        guard().on_crash("id", admission::fingerprint("f"), c);
+        guard().on_crash(c);
+    }
+    proxy::request_guard& requests() { return context.requests; }
+    void crash_under(const admission::fingerprint& request, std::uint64_t incarnation)
+    {
+        requests().on_crash({request, core::workspace_id("w"), core::endpoint_id("e"),
+                             core::failure_domain_id("fd"), core::incarnation{incarnation}, false,
+                             core::runtime_clock::now()});
     }
 
     proxy::proxy_context context;
     hub_process process;
-    gateway::part_report_exchange exchange;
+    gateway::evidence_exchange exchange;
 };
 
 } // namespace
 
-TEST_GROUP(part_report_exchanges)
+TEST_GROUP(evidence_exchanges)
 {
     asio::io_context io{1};
     entry_process a{io, "a"};
@@ -62,14 +69,14 @@
     }
 };
 
-TEST(part_report_exchanges, crash_is_known_at_a_connected_peer)
+TEST(evidence_exchanges, crash_is_known_at_a_connected_peer)
 {
     connect_both();
     a.crash(1);
     run_until(io, [this] { return b.guard().refuses(bad); });
 }
 
-TEST(part_report_exchanges, crash_is_told_to_a_peer_that_connects_later)
+TEST(evidence_exchanges, crash_is_told_to_a_peer_that_connects_later)
 {
     b.crash(1);
     CHECK(!a.guard().refuses(bad));
@@ -77,8 +84,32 @@
     run_until(io, [this] { return a.guard().refuses(bad); });
 }
 
-TEST(part_report_exchanges, malformed_report_is_ignored)
+// The second crash is seen through another entry than the first.
+TEST(evidence_exchanges, crashes_under_a_request_count_over_all_entries)
+{
+    connect_both();
+    const admission::fingerprint deadly("deadly");
+    a.crash_under(deadly, 1);
+    CHECK(!b.requests().refuses(deadly));
+    b.crash_under(deadly, 2);
+    run_until(io, [this, &deadly] {
+        return a.requests().refuses(deadly) && b.requests().refuses(deadly);
+    });
+}
+
+TEST(evidence_exchanges, crashes_under_a_request_are_told_to_a_peer_that_connects_later)
+{
+    const admission::fingerprint deadly("deadly");
+    b.crash_under(deadly, 1);
+    b.crash_under(deadly, 2);
+    connect_both();
+    run_until(io, [this, &deadly] { return a.requests().refuses(deadly); });
+}
+
+TEST(evidence_exchanges, malformed_report_is_ignored)
 {
-    a.exchange.on_report(core::host_id("b"), "text");
+    CHECK(a.exchange.on_message(core::host_id("b"), admission::part_report_type, "text"));
+    CHECK(a.exchange.on_message(core::host_id("b"), admission::suspicion_report_type, "text"));
     CHECK(!a.guard().refuses(bad));
+    LONGS_EQUAL(0, a.requests().crash_count(admission::fingerprint("deadly")));
 }
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -6,7 +6,7 @@
 #include "proxy/calleranswer.h"
 #include "proxy/proxyconstants.h"
 #include "proxy/proxycontext.h"
-#include "proxy/routedrequest.h"
+#include "proxy/requestsuspicion.h"
 
 #include <functional>
 
@@ -24,6 +24,8 @@
     /// The endpoint has sent the head of its answer, and the first event or the complete body.
     bool head_received = false;
     bool progressed = false;
+    /// The connection ended before the answer was complete.
+    bool connection_lost = false;
 };
 
 /// The attempt that would follow the running one.
@@ -45,9 +47,11 @@
     /// A silent endpoint is given up only for a next attempt that has its slot: a slow answer is
     /// better than none.
     endpoint_attempt(proxy_context& context, service_state& service, const routed_request& routed,
-                     caller_answer& answer, core::time_point deadline, next_attempt next)
-        : context_(context), service_(service), routed_(routed), answer_(answer),
-          deadline_(deadline), next_(std::move(next)), last_activity_(core::runtime_clock::now())
+                     request_suspicion& suspicion, caller_answer& answer, core::time_point deadline,
+                     next_attempt next)
+        : context_(context), service_(service), routed_(routed), suspicion_(suspicion),
+          answer_(answer), deadline_(deadline), next_(std::move(next)),
+          last_activity_(core::runtime_clock::now())
     {
     }
 
@@ -69,7 +73,9 @@
     void record_signal(const answer_metadata& metadata, const directory::endpoint_record& record);
     core::task<attempt_outcome> relay_stream(http::client_connection& connection,
                                              http::response head);
-    /// Records the attempt as evidence against the request if the endpoint has crashed.
+    /// Records the attempt as evidence against the request if the endpoint has crashed, which it
+    /// shows by refusing connections. An endpoint that lost an answer accepts them, and one that is
+    /// cut off does not answer.
     core::task<void> record_crash(const directory::endpoint_record& record);
     /// Records that the endpoint sent an event or its whole answer.
     void on_progress();
@@ -101,6 +107,7 @@
     proxy_context& context_;
     service_state& service_;
     const routed_request& routed_;
+    request_suspicion& suspicion_;
     caller_answer& answer_;
     core::time_point deadline_;
     next_attempt next_;
@@ -140,8 +147,8 @@
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
     }
-    if (!service_.guard.admit(routed_.request.id, routed_.request.shared_parts)) {
-        outcome.reason = part_suspected_reason;
+    outcome.reason = suspicion_.admit();
+    if (!outcome.reason.empty()) {
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
     }
@@ -158,9 +165,12 @@
     outcome.head_received = head_received_;
     outcome.progressed = progressed_;
     if (outcome.result == attempt_result::not_run) {
-        service_.guard.on_not_run(routed_.request.shared_parts);
+        suspicion_.on_not_run();
     }
-    else if (outcome.result == attempt_result::unknown && !progressed_) {
+    else if (outcome.result == attempt_result::answered) {
+        suspicion_.on_answered();
+    }
+    else if (outcome.connection_lost) {
         co_await record_crash(record);
     }
     co_return outcome;
@@ -173,14 +183,11 @@
     if (failed_at >= deadline() || !context_.endpoints.usable(record.endpoint)) {
         co_return;
     }
-    // An endpoint that loses an answer still accepts connections.
     http::client_connection check(context_.executor);
     const core::result<void> connected =
         co_await check.connect(record.address, failed_at + crash_check_timeout);
-    if (!connected) {
-        service_.guard.on_crash(routed_.request.id, routed_.fingerprint,
-                                {routed_.request.shared_parts, record.endpoint, record.incarnation,
-                                 head_received_, failed_at});
+    if (!connected && connected.error().code != core::errc::timeout) {
+        suspicion_.on_crash(record, head_received_, progressed_, failed_at);
     }
 }
 
@@ -229,6 +236,7 @@
         attempt_outcome outcome;
         outcome.result = attempt_result::unknown;
         outcome.reason = "send_failed";
+        outcome.connection_lost = true;
         co_return outcome;
     }
     co_return co_await read_answer(connection, record);
@@ -245,6 +253,7 @@
         core::result<http::response> head = co_await connection.read_head(core::time_point::max());
         if (!head) {
             outcome.reason = "no_answer";
+            outcome.connection_lost = true;
             co_return outcome;
         }
         last_activity_ = core::runtime_clock::now();
@@ -265,6 +274,7 @@
             if (!body) {
                 const bool too_large = body.error().code == core::errc::too_large;
                 outcome.reason = too_large ? "answer_too_large" : "answer_cut";
+                outcome.connection_lost = !too_large;
                 co_return outcome;
             }
             if (mismatched) {
@@ -365,6 +375,7 @@
             co_await connection.read_some(core::time_point::max());
         if (!chunk) {
             outcome.reason = "stream_cut";
+            outcome.connection_lost = true;
             co_return outcome;
         }
         if (chunk.value().empty()) {
@@ -395,6 +406,7 @@
     }
     if (!answer_.events().at_boundary()) {
         outcome.reason = "stream_cut";
+        outcome.connection_lost = true;
         co_return outcome;
     }
     // Sends events that remain unsent from an earlier attempt.
@@ -410,7 +422,7 @@
 {
     if (!progressed_) {
         progressed_ = true;
-        service_.guard.on_progress(routed_.request.shared_parts);
+        suspicion_.on_progress();
     }
 }
 
--- a/src/proxy/partguard.cpp
+++ b/src/proxy/partguard.cpp
@@ -1,6 +1,5 @@
 #include "proxy/partguard.h"
 
-#include "core/counters.h"
 #include "core/eventlog.h"
 #include "core/text.h"
 
@@ -9,7 +8,7 @@
 namespace currantpitch::proxy {
 
 using admission::part_report;
-using admission::part_verdict;
+using admission::suspect_verdict;
 using part_ids = std::vector<core::prompt_part_id>;
 
 namespace {
@@ -35,7 +34,7 @@
 
 bool part_guard::refuses(const part_ids& parts) const
 {
-    return suspects_.verdict(parts, core::runtime_clock::now()) == part_verdict::refuse;
+    return suspects_.verdict(parts, core::runtime_clock::now()) == suspect_verdict::refuse;
 }
 
 std::chrono::milliseconds part_guard::retry_after(const part_ids& parts) const
@@ -47,9 +46,9 @@
 bool part_guard::admit(const std::string& request, const part_ids& parts)
 {
     const core::time_point now = core::runtime_clock::now();
-    const part_verdict verdict = suspects_.verdict(parts, now);
-    if (verdict != part_verdict::probe) {
-        return verdict == part_verdict::admit;
+    const suspect_verdict verdict = suspects_.verdict(parts, now);
+    if (verdict != suspect_verdict::probe) {
+        return verdict == suspect_verdict::admit;
     }
     core::log_event("part_probe")
         .field("service", service_)
@@ -77,18 +76,8 @@
     publish_(report);
 }
 
-void part_guard::on_crash(const std::string& request, const admission::fingerprint& fingerprint,
-                          const admission::part_crash& crash)
+void part_guard::on_crash(const admission::part_crash& crash)
 {
-    core::counter_for("part_crashes_total").add();
-    core::log_event("endpoint_crashed", core::log_event::level::warning)
-        .field("service", service_)
-        .field("endpoint", crash.endpoint)
-        .field("endpoint_incarnation", crash.endpoint_incarnation)
-        .field("request", request)
-        .field("fingerprint", fingerprint)
-        .field("answer_begun", crash.answer_begun)
-        .field("parts", core::join(crash.parts, ','));
     if (!suspects_.on_crash(crash)) {
         return;
     }
--- a/src/proxy/partguard.h
+++ b/src/proxy/partguard.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "admission/admissionmessages.h"
-#include "admission/crashtracker.h"
 #include "admission/partsuspects.h"
 
 #include <functional>
@@ -35,8 +34,7 @@
     /// An endpoint made progress with a request.
     void on_progress(const std::vector<core::prompt_part_id>& parts);
     /// An endpoint crashed while it ran a request without progress.
-    void on_crash(const std::string& request, const admission::fingerprint& fingerprint,
-                  const admission::part_crash& crash);
+    void on_crash(const admission::part_crash& crash);
 
     /// Applies a peer's report. Returns what the peer, or all peers if the report was a reply, do
     /// not know yet.
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -14,9 +14,12 @@
 inline constexpr std::chrono::milliseconds connect_timeout{400};
 /// Reason of a refusal because the prompt has parts that are suspected of crashing endpoints.
 inline constexpr std::string_view part_suspected_reason = "part_suspected";
+/// Reason of a refusal because the request as a whole is suspected of crashing endpoints.
+inline constexpr std::string_view request_suspected_reason = "request_suspected";
 /// Reason of a refusal because all endpoints limit their requests.
 inline constexpr std::string_view endpoints_limited_reason = "endpoints_limited";
-/// Timeout of the connection that shows whether an endpoint that broke off has crashed.
+/// Timeout of the connection that shows whether an endpoint that broke off has crashed. One that
+/// has ended refuses it at once.
 inline constexpr std::chrono::milliseconds crash_check_timeout{200};
 /// Minimum time left before the deadline for sending a request to an endpoint.
 inline constexpr std::chrono::milliseconds min_time_left{30};
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -10,6 +10,7 @@
 #include "proxy/connectionpool.h"
 #include "proxy/partguard.h"
 #include "proxy/proxyconstants.h"
+#include "proxy/requestguard.h"
 #include "routes/configurationview.h"
 
 #include <map>
@@ -97,6 +98,12 @@
     /// Sends a report on parts of prompts to all peers.
     part_guard::publisher publish_part_report = [](const admission::part_report&) {
     };
+    /// Sends a report on requests that may crash endpoints to all peers.
+    request_guard::publisher publish_suspicion_report = [](const admission::suspicion_report&) {
+    };
+    request_guard requests{[this](const admission::suspicion_report& r) {
+        publish_suspicion_report(r);
+    }};
     std::size_t process_count = 1;
     std::size_t in_flight = 0;
     bool stopping = false;
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -17,6 +17,7 @@
 public:
     request_flow(proxy_context& context, http::server_connection& caller, routed_request routed)
         : context_(context), routed_(std::move(routed)), service_(context.service(routed_.service)),
+          suspicion_(context.requests, service_.guard, routed_),
           deadline_(routed_.arrived +
                     std::min(routed_.request.timeout, routed_.route->timeout - answer_margin)),
           answer_(caller, routed_.request.last_event_id, routed_.arrived)
@@ -59,6 +60,7 @@
     proxy_context& context_;
     routed_request routed_;
     service_state& service_;
+    request_suspicion suspicion_;
     core::time_point deadline_;
     caller_answer answer_;
     /// Failure answer of an endpoint. It is delivered if no retry gets an answer.
@@ -77,8 +79,9 @@
 {
     service_.retries.on_request(routed_.arrived);
     while (true) {
-        if (service_.guard.refuses(routed_.request.shared_parts)) {
-            co_await end_without_attempt(part_suspected_reason);
+        const std::string_view suspicion = suspicion_.refusal_reason();
+        if (!suspicion.empty()) {
+            co_await end_without_attempt(suspicion);
             co_return;
         }
         slot_result acquired = co_await take_slot();
@@ -90,12 +93,12 @@
         ++attempts_;
         tried_endpoints_.insert(slot.endpoint());
         attempt_started_at_ = core::runtime_clock::now();
-        endpoint_attempt<Dialect> attempt(context_, service_, routed_, answer_, deadline_,
-                                          {[this] { return another_attempt_possible(); },
-                                           [this] { return acquire_next_slot(); },
-                                           [this] {
-                                               next_slot_.reset();
-                                           }});
+        endpoint_attempt<Dialect> attempt(
+            context_, service_, routed_, suspicion_, answer_, deadline_,
+            {[this] { return another_attempt_possible(); }, [this] { return acquire_next_slot(); },
+             [this] {
+                 next_slot_.reset();
+             }});
         attempt_outcome outcome = co_await attempt.run(slot);
         slot.set_outcome(outcome.work);
         may_have_run_ = may_have_run_ || outcome.result == attempt_result::unknown ||
@@ -188,7 +191,7 @@
     dispatch::dispatch_request next;
     next.excluded = tried_endpoints_;
     return attempts_ < routed_.route->max_attempts && deadline() - now >= min_time_left &&
-           !service_.guard.refuses(routed_.request.shared_parts) &&
+           suspicion_.refusal_reason().empty() &&
            service_.queue.slot_scheduler().has_candidate(next) && service_.retries.has_retry(now);
 }
 
@@ -205,7 +208,7 @@
     dispatch::dispatch_request retry_request;
     retry_request.excluded = tried_endpoints_;
     context.retry_allowed = within_limits && is_retryable(result, context) &&
-                            !service_.guard.refuses(routed_.request.shared_parts) &&
+                            suspicion_.refusal_reason().empty() &&
                             service_.queue.slot_scheduler().has_candidate(retry_request) &&
                             service_.retries.try_acquire_retry(now);
     return context;
@@ -255,8 +258,8 @@
 template <proxy_dialect Dialect>
 std::chrono::milliseconds request_flow<Dialect>::retry_after(std::string_view reason)
 {
-    if (reason == part_suspected_reason) {
-        return service_.guard.retry_after(routed_.request.shared_parts);
+    if (reason == part_suspected_reason || reason == request_suspected_reason) {
+        return suspicion_.retry_after(reason);
     }
     if (reason == endpoints_limited_reason) {
         return service_.queue.slot_scheduler().retry_after_limit(core::runtime_clock::now());
--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -120,9 +120,12 @@
     }
     asio::ip::tcp::endpoint address() const { return address_; }
     void stop_listening() { acceptor_.close(); }
-    /// Listens at the same address again, as after a restart.
+    /// Listens at the same address again, as after a restart. No effect while it listens.
     void listen_again()
     {
+        if (acceptor_.is_open()) {
+            return;
+        }
         acceptor_ = asio::ip::tcp::acceptor(acceptor_.get_executor(), address_);
         core::spawn(acceptor_.get_executor(), accept());
     }
@@ -210,6 +213,7 @@
     std::string answer;
     std::chrono::milliseconds route_timeout{1500};
     std::uint64_t last_incarnation = 0;
+    core::service_id service{"s"};
 
     void setup() override
     {
@@ -235,7 +239,7 @@
         r.target_latency = 200ms;
         r.target_gap = 100ms;
         r.max_attempts = 2;
-        r.services = {{core::service_id("s"), 1}};
+        r.services = {{service, 1}};
         c.routes = {r};
         if (requires_key) {
             routes::workspace w;
@@ -244,14 +248,14 @@
             c.workspaces = {w};
         }
         shared.configuration.apply(std::move(c), core::boot_clock::now());
-        register_endpoint(a, core::incarnation{});
-        register_endpoint(b, core::incarnation{});
+        register_endpoint(a, core::incarnation{last_incarnation});
+        register_endpoint(b, core::incarnation{last_incarnation});
     }
     void register_endpoint(const scripted_endpoint& e, core::incarnation incarnation)
     {
         directory::endpoint_record record;
         record.endpoint = core::endpoint_id(&e == &a ? "a" : "b");
-        record.service = core::service_id("s");
+        record.service = service;
         record.address = e.address();
         // The own failure domain is preferred.
         record.failure_domain = core::failure_domain_id(&e == &a ? "fd" : "other");
--- a/src/proxy/tests/tst_partguard.cpp
+++ b/src/proxy/tests/tst_partguard.cpp
@@ -72,7 +72,7 @@
         c.endpoint_incarnation = core::incarnation{incarnation};
         c.answer_begun = true;
         c.at = core::runtime_clock::now();
-        guards[entry]->on_crash("id", admission::fingerprint("f"), c);
+        guards[entry]->on_crash(c);
     }
 };
 
@@ -150,7 +150,7 @@
         run.advance(1s);
         crashed.endpoint_incarnation = core::incarnation{n};
         crashed.at = core::runtime_clock::now();
-        cut_off.on_crash("id", admission::fingerprint("f"), crashed);
+        cut_off.on_crash(crashed);
     }
     CHECK(cut_off.refuses(parts({"first"})));
     run.advance(1s);
