Keep held requests in the store, and let operators lift a hold

What a gateway knows of crashes is in memory: after a restart of all gateways at once, a request that had crashed endpoints was sent to two more. The gateway that saw the crashes now writes a Quarantine object, as the product's own entries do; every gateway lists the objects after its start and then each 8 s at most, from answers that may be old and cost little. Deleting the object lifts the hold at all gateways; an answer of a probe deletes it, too. A store that is restored from an older copy lifts nothing.

The Quarantine of an anonymous request has no workspace.

--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -5,6 +5,7 @@
 #include "core/eventlog.h"
 #include "entry/entryconstants.h"
 #include "intents/hostregistration.h"
+#include "intents/quarantinerecord.h"
 #include "membership/entryset.h"
 #include "objectstore/objectstoreconstants.h"
 #include "wire/unpacker.h"
@@ -289,20 +290,10 @@
     spec.fingerprint = finding.request.str();
     spec.evidence = finding.evidence;
     spec.expires_at = core::runtime_clock::wall_now() + admission::quarantine_lifetime;
-    intents::resource r;
-    r.kind = intents::resource_kind::quarantine;
-    r.name = spec.fingerprint;
-    r.generation = 1;
-    r.nonce = std::to_string(context_.random());
-    r.spec = intents::to_json(spec);
-    core::result<objectstore::object> written = error{};
-    // A conflict means that another entry has already written the quarantine.
+    const std::string nonce = std::to_string(context_.random());
+    core::result<void> written = error{};
     for (int attempt = 0; attempt < 10 && !written; ++attempt) {
-        written = co_await store_.put(key_of(r), to_body(r), core::revision{},
-                                      make_call_context("quarantine"));
-        if (!written && written.error().code == errc::conflict) {
-            co_return;
-        }
+        written = co_await intents::write_quarantine(store_, spec, nonce);
         if (!written) {
             co_await core::sleep_for(std::chrono::seconds(2));
         }
--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -23,6 +23,16 @@
 inline constexpr objectstore::poll_timing host_poll_timing{std::chrono::milliseconds(3000),
                                                            std::chrono::milliseconds(1000),
                                                            std::chrono::milliseconds(12000)};
+/// Timing of the poll of quarantines. Entries tell each other of them directly, so the store is
+/// read only after a start and for what an operator lifts.
+inline constexpr objectstore::poll_timing quarantine_poll_timing{std::chrono::milliseconds(8000),
+                                                                 std::chrono::milliseconds(2000),
+                                                                 std::chrono::milliseconds(4000)};
+/// Delay before a quarantine is written again after a failure, and maximum number that wait.
+inline constexpr std::chrono::seconds quarantine_retry_delay{2};
+inline constexpr std::size_t max_pending_quarantines = 1024;
+/// Time for which a listing may still show the quarantine of a request that was cleared.
+inline constexpr std::chrono::seconds cleared_quarantine_memory{60};
 /// Time after which this entry's registration must appear in a listing. Otherwise it is written
 /// again. Listings can be a few seconds old.
 inline constexpr std::chrono::seconds registration_listing_delay{10};
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -5,6 +5,7 @@
 #include "gateway/feedsinks.h"
 #include "gateway/gatewayconstants.h"
 #include "gateway/metricshandler.h"
+#include "gateway/quarantinekeeper.h"
 #include "gateway/signalexchange.h"
 #include "intents/hostregistration.h"
 #include "membership/peerhub.h"
@@ -75,9 +76,12 @@
     configuration_exchange<configuration_sink<Site>> configurations_;
     endpoint_sink<Site> endpoint_sink_;
     host_sink host_sink_;
+    quarantine_keeper<typename Site::store> quarantines_;
     objectstore::kind_feed<typename Site::store, configuration_sink<Site>> configuration_feed_;
     objectstore::kind_feed<typename Site::store, endpoint_sink<Site>> endpoint_feed_;
     objectstore::kind_poll<typename Site::store, host_sink> host_feed_;
+    objectstore::kind_poll<typename Site::store, quarantine_keeper<typename Site::store>>
+        quarantine_feed_;
     proxy::request_handler<typename Site::dialect> request_handler_;
     address_handler address_handler_{*this};
     readiness_handler readiness_handler_{*this};
@@ -114,12 +118,15 @@
       configuration_sink_(context_, [this] { context_.apply_endpoints(); }),
       configurations_(configuration_sink_, *hub_), endpoint_sink_(context_),
       host_sink_(roster_, [this] { on_hosts(); }),
+      quarantines_(executor, store_, context_.requests),
       configuration_feed_(executor, store_, Site::configuration_key().kind, configuration_sink_,
                           configuration_feed_timing, seed + 1),
       endpoint_feed_(executor, store_, Site::endpoint_kind(), endpoint_sink_, endpoint_feed_timing,
                      seed + 2),
       host_feed_(store_, std::string(intents::to_string(intents::resource_kind::host)), host_sink_,
                  host_poll_timing, seed + 3),
+      quarantine_feed_(store_, std::string(intents::to_string(intents::resource_kind::quarantine)),
+                       quarantines_, quarantine_poll_timing, seed + 4),
       request_handler_(context_), caller_listener_(executor), directory_listener_(executor),
       readiness_listener_(executor), metrics_listener_(executor), peer_listener_(executor),
       stop_(executor)
@@ -205,6 +212,8 @@
     core::spawn(executor_, configuration_feed_.run());
     core::spawn(executor_, endpoint_feed_.run());
     core::spawn(executor_, host_feed_.run());
+    core::spawn(executor_, quarantine_feed_.run());
+    core::spawn(executor_, quarantines_.run());
 }
 
 template <site_platform Site>
--- a/src/intents/fieldreader.cpp
+++ b/src/intents/fieldreader.cpp
@@ -35,6 +35,11 @@
     return std::string(value->as_string());
 }
 
+std::string field_reader::text_or(std::string_view field, std::string fallback)
+{
+    return find(field, false) == nullptr ? std::move(fallback) : text(field);
+}
+
 std::int64_t field_reader::integer(std::string_view field, std::int64_t min_value,
                                    std::int64_t max_value)
 {
--- a/src/intents/fieldreader.h
+++ b/src/intents/fieldreader.h
@@ -18,6 +18,7 @@
     field_reader(const boost::json::object& from, std::string path, core::findings& problems);
 
     std::string text(std::string_view field);
+    std::string text_or(std::string_view field, std::string fallback);
     std::int64_t integer(std::string_view field, std::int64_t min_value, std::int64_t max_value);
     std::int64_t integer_or(std::string_view field, std::int64_t fallback, std::int64_t min_value,
                             std::int64_t max_value);
--- a/src/intents/specs.cpp
+++ b/src/intents/specs.cpp
@@ -128,7 +128,7 @@
     core::findings problems;
     field_reader reader(from, "spec.", problems);
     quarantine_spec s;
-    s.workspace = core::workspace_id(reader.text("workspace"));
+    s.workspace = core::workspace_id(reader.text_or("workspace", ""));
     s.fingerprint = reader.text("fingerprint");
     s.evidence = reader.text_list("evidence");
     s.expires_at = core::wall_time(std::chrono::milliseconds(
@@ -152,10 +152,13 @@
 
 json::object to_json(const quarantine_spec& s)
 {
-    return {{"workspace", s.workspace.str()},
-            {"fingerprint", s.fingerprint},
-            {"evidence", json::array(s.evidence.begin(), s.evidence.end())},
-            {"expires_at_unix_ms", s.expires_at.time_since_epoch().count()}};
+    json::object spec{{"fingerprint", s.fingerprint},
+                      {"evidence", json::array(s.evidence.begin(), s.evidence.end())},
+                      {"expires_at_unix_ms", s.expires_at.time_since_epoch().count()}};
+    if (!s.workspace.empty()) {
+        spec["workspace"] = s.workspace.str();
+    }
+    return spec;
 }
 
 core::findings validate_spec(resource_kind kind, const json::object& spec)
--- a/src/intents/specs.h
+++ b/src/intents/specs.h
@@ -88,6 +88,7 @@
 
 /// A request that is refused because it crashed several endpoints.
 struct quarantine_spec {
+    /// Empty if the request was anonymous.
     core::workspace_id workspace;
     /// Digest of the request's content.
     std::string fingerprint;
--- a/src/proxy/requestguard.cpp
+++ b/src/proxy/requestguard.cpp
@@ -70,25 +70,51 @@
     publish_(report);
 }
 
-bool request_guard::clear(const fingerprint& request)
+bool request_guard::clear(const fingerprint& request, bool by_own_answer)
 {
     const bool suspected = crashes_.crash_count(request) > 0;
-    const bool held = holds_.release(request);
     if (suspected) {
         crashes_.on_success(request);
     }
+    seen_here_.erase(request);
+    const bool held = holds_.release(request);
     if (held) {
         core::log_event("request_cleared").field("fingerprint", request);
+        on_cleared(request, by_own_answer);
     }
     return suspected || held;
 }
 
+void request_guard::publish_clearance(const fingerprint& request)
+{
+    suspicion_report report;
+    report.cleared.push_back({request.str()});
+    publish_(report);
+}
+
 void request_guard::on_answered(const fingerprint& request)
 {
-    if (clear(request)) {
-        suspicion_report report;
-        report.cleared.push_back({request.str()});
-        publish_(report);
+    if (clear(request, true)) {
+        publish_clearance(request);
+    }
+}
+
+void request_guard::on_stored_hold(const fingerprint& request, const core::workspace_id& workspace)
+{
+    if (holds_.find(request) == nullptr) {
+        core::log_event("request_held")
+            .field("fingerprint", request)
+            .field("workspace", workspace)
+            .field("evidence", "stored");
+        holds_.hold(request, workspace, core::runtime_clock::now());
+        crashes_.on_success(request);
+    }
+}
+
+void request_guard::lift(const fingerprint& request)
+{
+    if (clear(request, false)) {
+        publish_clearance(request);
     }
 }
 
@@ -102,6 +128,9 @@
 void request_guard::on_crash(const admission::crash_record& crash)
 {
     apply_crash(crash);
+    if (crashes_.crash_count(crash.request) > 0) {
+        seen_here_.insert(crash.request);
+    }
     suspicion_report report;
     report.crashes.push_back(to_reported(crash));
     publish_(report);
@@ -120,7 +149,7 @@
         apply_crash(from_reported(c));
     }
     for (const admission::suspicion_clearance& c : report.cleared) {
-        clear(fingerprint(c.fingerprint));
+        clear(fingerprint(c.fingerprint), false);
     }
 }
 
@@ -156,8 +185,14 @@
             .field("workspace", finding.workspace)
             .field("evidence", finding.evidence.size())
             .field("for_ms", core::to_milliseconds(holds_.hold_time(finding.request, now)));
+        if (seen_here_.erase(finding.request) > 0) {
+            on_held(finding);
+        }
     }
     crashes_.expire(now);
+    std::erase_if(seen_here_, [this](const fingerprint& request) {
+        return crashes_.crash_count(request) == 0;
+    });
     holds_.expire(now);
     core::gauge_for("requests_held").set(static_cast<double>(holds_.all().size()));
     core::gauge_for("requests_suspected").set(static_cast<double>(crashes_.suspect_count()));
--- a/src/proxy/requestguard.h
+++ b/src/proxy/requestguard.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace currantpitch::proxy {
@@ -31,6 +32,10 @@
     void on_not_run(const admission::fingerprint& request) { holds_.end_probe(request); }
     /// An endpoint has answered the request, so that it does not crash endpoints.
     void on_answered(const admission::fingerprint& request);
+    /// The store has a hold of the request. It begins anew if this entry does not know it.
+    void on_stored_hold(const admission::fingerprint& request, const core::workspace_id& workspace);
+    /// Ends the hold of a request at all entries, as an operator demands.
+    void lift(const admission::fingerprint& request);
     /// An endpoint crashed while it ran the request.
     void on_crash(const admission::crash_record& crash);
     /// Number of crashes on record for a request that is not held back.
@@ -45,15 +50,30 @@
     /// Holds back the requests whose evidence suffices by now, and forgets what is too old.
     void update(core::time_point now);
 
+    /// Is called when a request is held back on evidence that includes crashes which this entry
+    /// saw.
+    std::function<void(const admission::quarantine_finding&)> on_held =
+        [](const admission::quarantine_finding&) {
+        };
+    /// Is called when the hold of a request ends, by an answer through this entry or in another
+    /// way.
+    std::function<void(const admission::fingerprint&, bool by_own_answer)> on_cleared =
+        [](const admission::fingerprint&, bool) {
+        };
+
 private:
     void apply_crash(const admission::crash_record& crash);
-    bool clear(const admission::fingerprint& request);
+    /// Forgets the evidence against a request and ends its hold. Returns whether there was any.
+    bool clear(const admission::fingerprint& request, bool by_own_answer);
+    void publish_clearance(const admission::fingerprint& request);
     admission::reported_hold reported(const admission::fingerprint& request,
                                       const admission::request_hold& h) const;
 
     publisher publish_;
     admission::crash_tracker crashes_;
     admission::request_holds holds_;
+    /// Suspects under which this entry saw endpoints crash.
+    std::set<admission::fingerprint> seen_here_;
 };
 
 } // namespace currantpitch::proxy
