--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -21,6 +21,7 @@
 constexpr double revoked_key_probability = 0.06;
 constexpr double removed_route_probability = 0.06;
 constexpr double crashing_part_probability = 0.15;
+constexpr double crashing_request_probability = 0.05;
 
 } // namespace
 
@@ -112,6 +113,13 @@
         std::bernoulli_distribution(crashing_part_probability)(prompt_random_)) {
         call.shared_parts.push_back(environment_.crashing_part);
     }
+    if (!environment_.crashing_target_end.empty() &&
+        std::bernoulli_distribution(crashing_request_probability)(prompt_random_)) {
+        // The same request each time but for its id, whoever sends it.
+        call.target = route.path_prefix + environment_.crashing_target_end;
+        call.body = call.method == "POST" ? environment_.crashing_target_end : "";
+        call.key = environment_.declared.workspaces.front().keys.front();
+    }
     sent_call sent{call.request, gateway,     call.method,   call.target, call.body,
                    call.key,     route.retry, route.timeout, {}};
     return {std::move(sent), std::move(call)};
@@ -206,6 +214,10 @@
                              : call_result::outcome_kind::cut;
         co_return;
     }
+    if (!result.signature) {
+        result.refused_as_suspect =
+            result.status == 503 && body.value().find("request_suspected") != std::string::npos;
+    }
     if (result.signature && body.value() != plain_body(call.request, *result.signature)) {
         result.defect = "other body, bytes=" + std::to_string(body.value().size());
     }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -29,6 +29,8 @@
     std::vector<declared_route> removed_routes;
     /// Part that some callers' prompts contain and that crashes endpoints. Empty if there is none.
     std::string crashing_part;
+    /// Last segment of the targets that crash endpoints. Empty if there is none.
+    std::string crashing_target_end;
     /// Number of events in a complete stream.
     std::uint64_t stream_events = 0;
     bool stopping = false;
--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -172,13 +172,35 @@
 
 void guarantee_checker::check_crashing_request(const call_state& s, const arrival& a)
 {
-    if (!a.crashes || part_crashes_.size() < limits_.max_part_crashes) {
+    if (a.crashed_by == arrival::crash_cause::none) {
         return;
     }
-    const core::time_point known_at = part_crashes_[limits_.max_part_crashes - 1];
-    const bool late = a.at > known_at + limits_.settling_time &&
+    const bool by_part = a.crashed_by == arrival::crash_cause::part;
+    const std::vector<core::time_point>& crashes =
+        by_part ? part_crashes_ : request_crashes_[a.target];
+    const std::size_t allowed = by_part ? limits_.max_part_crashes : limits_.max_request_crashes;
+    const bool late = crashes.size() >= allowed &&
+                      a.at > crashes[allowed - 1] + limits_.settling_time &&
                       gateway_undisturbed(s.call.gateway, s.call.at, a.at);
-    late_crashing_requests_ += late ? 1 : 0;
+    (by_part ? late_crashing_requests_ : late_repeats_[a.target]) += late ? 1 : 0;
+}
+
+std::size_t guarantee_checker::request_crashes() const
+{
+    std::size_t total = 0;
+    for (const std::pair<const std::string, std::vector<core::time_point>>& r : request_crashes_) {
+        total += r.second.size();
+    }
+    return total;
+}
+
+std::size_t guarantee_checker::late_crashing_requests() const
+{
+    std::size_t total = 0;
+    for (const std::pair<const std::string, std::size_t>& r : late_repeats_) {
+        total += r.second;
+    }
+    return total;
 }
 
 void guarantee_checker::check_configuration(call_state& s, const arrival& a)
@@ -224,6 +246,8 @@
     s.result = result;
     const bool undisturbed = gateway_undisturbed(s.call.gateway, s.call.at, result.at);
     undisturbed_calls_ += undisturbed ? 1 : 0;
+    sound_suspected_ +=
+        result.refused_as_suspect && !request_crashes_.contains(s.call.target) ? 1 : 0;
     if (!result.defect.empty()) {
         add_finding("mixed", request, result.defect);
     }
@@ -362,6 +386,17 @@
     if (late_crashing_requests_ > limits_.max_late_crashing_requests) {
         add_finding("crashing-part", "-", "requests=" + std::to_string(late_crashing_requests_));
     }
+    for (const std::pair<const std::string, std::size_t>& r : late_repeats_) {
+        if (r.second > limits_.max_late_repeats) {
+            add_finding("crashing-request", r.first,
+                        "requests=" + std::to_string(r.second) +
+                            " crashes=" + std::to_string(request_crashes_[r.first].size()));
+        }
+    }
+    if (static_cast<double>(sound_suspected_) >
+        limits_.max_suspected_ratio * static_cast<double>(calls_.size())) {
+        add_finding("sound-suspected", "-", "requests=" + std::to_string(sound_suspected_));
+    }
 }
 
 double guarantee_checker::success_ratio_since(core::time_point t) const
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -45,6 +45,8 @@
     /// Defect of the answer itself, empty if there is none.
     std::string defect;
     core::time_point at;
+    /// The request was refused because it is suspected of crashing endpoints.
+    bool refused_as_suspect = false;
 };
 
 /// Part of the system that a disturbance affects.
@@ -71,6 +73,11 @@
     }
     /// Reports that a part of a prompt crashed an endpoint.
     void on_part_crash(core::time_point at) { part_crashes_.push_back(at); }
+    /// Reports that a request with this target crashed an endpoint.
+    void on_request_crash(const std::string& target, core::time_point at)
+    {
+        request_crashes_[target].push_back(at);
+    }
     /// Reports that a gateway process was started or restarted.
     void on_gateway_start(std::size_t gateway);
     /// Time limits, except for rollback and revoke, don't apply until the matching
@@ -101,6 +108,12 @@
     std::size_t undisturbed_calls() const { return undisturbed_calls_; }
     /// Number of times that a part of a prompt crashed an endpoint.
     std::size_t part_crashes() const { return part_crashes_.size(); }
+    /// Number of endpoints that requests crashed as a whole, and of the requests that reached
+    /// endpoints although they had to be known by then.
+    std::size_t request_crashes() const;
+    std::size_t late_crashing_requests() const;
+    /// Number of sound requests that were refused as suspects.
+    std::size_t sound_suspected() const { return sound_suspected_; }
 
 private:
     struct configuration {
@@ -153,6 +166,11 @@
     /// Times of the crashes by a part of prompts, in their order.
     std::vector<core::time_point> part_crashes_;
     std::size_t late_crashing_requests_ = 0;
+    /// Times of the crashes by each request, by its target, and its arrivals after them that came
+    /// too late.
+    std::map<std::string, std::vector<core::time_point>> request_crashes_;
+    std::map<std::string, std::size_t> late_repeats_;
+    std::size_t sound_suspected_ = 0;
     std::vector<std::string> findings_;
     std::size_t served_ = 0;
     std::size_t refused_ = 0;
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -39,6 +39,12 @@
     /// any more, and of those that may do so all the same.
     std::size_t max_part_crashes = 5;
     std::size_t max_late_crashing_requests = 3;
+    /// The same for a request that comes again, whatever its id.
+    std::size_t max_request_crashes = 3;
+    std::size_t max_late_repeats = 3;
+    /// Ratio of sound requests that may be refused because they are suspected of crashing
+    /// endpoints.
+    double max_suspected_ratio = 0.001;
     /// Ratio of requests that must succeed after the last fault. The platform's documentation
     /// requires a quarter.
     double min_served_ratio = 0.9;
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -34,6 +34,7 @@
     fault_injector injector(site);
     co_await injector.run(make_fault_script(options.site.seed, options.faults));
     site.environment().crashing_part.clear();
+    site.environment().crashing_target_end.clear();
     co_await core::sleep_for(guarantee_limits{}.recovery);
     const core::time_point recovered = core::runtime_clock::now();
     const core::step_number step = site.group().step();
@@ -58,6 +59,9 @@
               << " failed=" << checker.failed()
               << " judged_in_touch=" << checker.undisturbed_calls()
               << " part_crashes=" << checker.part_crashes()
+              << " request_crashes=" << checker.request_crashes()
+              << " late_crashing_requests=" << checker.late_crashing_requests()
+              << " sound_suspected=" << checker.sound_suspected()
               << " peak_gateway_bytes=" << injector.peak_gateway_memory_bytes()
               << " switches=" << site.group().switches() << " served_after=" << served
               << " findings=" << findings.size() << "\n";
@@ -112,6 +116,8 @@
     app.add_option("--callers", options.site.callers, "Number of callers");
     app.add_flag("--crashing-part", options.site.crashing_part,
                  "Let a part of some prompts crash the ranks that begin to answer it");
+    app.add_flag("--crashing-request", options.site.crashing_request,
+                 "Let one request on each route crash the endpoints that run it");
     app.add_flag("--list", options.list, "Only print the faults of the seed");
     app.footer(
         "Exit codes: 0 if every guarantee held, 1 if one was violated; the findings name it.");
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -34,6 +34,8 @@
 /// Part of prompts that crashes ranks, the time from the head of its answer to the crash, and the
 /// time for which the rank is gone.
 constexpr const char* crashing_part_id = "deadbeef";
+/// Last segment of the targets that crash endpoints.
+constexpr const char* crashing_target_end = "deadly";
 constexpr std::chrono::milliseconds crash_delay{20};
 constexpr std::chrono::milliseconds rank_restart_time{1500};
 /// Interval at which other experts become the most requested ones.
@@ -179,11 +181,8 @@
     o.events = stream_events;
     e.server = std::make_unique<standin_endpoint>(
         o, [this](const arrival& a) { checker_.on_arrival(a); }, e.engine.get());
-    if (options_.crashing_part) {
-        e.server->crashed_by = crashing_part{crashing_part_id, [this, i] {
-                                                 core::spawn(executor_, crash_rank(i));
-                                             }};
-    }
+    e.server->crashed_by =
+        make_trigger([this, i](const arrival& a) { core::spawn(executor_, crash_rank(i, a)); });
     build_link(e, rank_block, i);
     ranks_.push_back(std::move(e));
     const std::string name = "agent-" + std::to_string(i);
@@ -198,7 +197,24 @@
         first_agent_store_number + i));
 }
 
-core::task<void> soak_site::crash_rank(std::size_t i)
+crash_trigger soak_site::make_trigger(std::function<void(const arrival&)> crash) const
+{
+    return {options_.crashing_part ? crashing_part_id : "",
+            options_.crashing_request ? crashing_target_end : "", std::move(crash)};
+}
+
+void soak_site::record_crash(const arrival& a)
+{
+    const core::time_point now = core::runtime_clock::now();
+    if (a.crashed_by == arrival::crash_cause::part) {
+        checker_.on_part_crash(now);
+    }
+    else {
+        checker_.on_request_crash(a.target, now);
+    }
+}
+
+core::task<void> soak_site::crash_rank(std::size_t i, arrival a)
 {
     endpoint& e = ranks_[i];
     if (e.crashed) {
@@ -206,7 +222,7 @@
     }
     e.crashed = true;
     co_await core::sleep_for(crash_delay);
-    checker_.on_part_crash(core::runtime_clock::now());
+    record_crash(a);
     checker_.on_disturbance_start(disturbance_target::endpoints, 0, core::runtime_clock::now());
     group_.crash(static_cast<std::uint32_t>(i));
     e.link->set_faults({.gone = true});
@@ -221,6 +237,29 @@
     checker_.on_disturbance_end(disturbance_target::endpoints, 0, core::runtime_clock::now());
 }
 
+core::task<void> soak_site::crash_plain(std::size_t i, arrival a)
+{
+    endpoint& e = plain_endpoints_[i];
+    const std::uint64_t incarnation = e.incarnation;
+    if (e.crashed) {
+        co_return;
+    }
+    e.crashed = true;
+    co_await core::sleep_for(crash_delay);
+    record_crash(a);
+    checker_.on_disturbance_start(disturbance_target::endpoints, 0, core::runtime_clock::now());
+    e.link->set_faults({.gone = true});
+    e.link->reset_all();
+    co_await core::sleep_for(rank_restart_time);
+    e.link->set_faults({});
+    e.crashed = false;
+    // A fault may have restarted it meanwhile.
+    if (e.incarnation == incarnation) {
+        restart_endpoint(e);
+    }
+    checker_.on_disturbance_end(disturbance_target::endpoints, 0, core::runtime_clock::now());
+}
+
 void soak_site::build_plain(std::size_t i)
 {
     endpoint e;
@@ -230,6 +269,8 @@
     o.slots = slots;
     e.server =
         std::make_unique<standin_endpoint>(o, [this](const arrival& a) { checker_.on_arrival(a); });
+    e.server->crashed_by =
+        make_trigger([this, i](const arrival& a) { core::spawn(executor_, crash_plain(i, a)); });
     build_link(e, plain_block, i);
     plain_endpoints_.push_back(std::move(e));
 }
@@ -312,6 +353,7 @@
 void soak_site::start_callers()
 {
     environment_.crashing_part = options_.crashing_part ? crashing_part_id : "";
+    environment_.crashing_target_end = options_.crashing_request ? crashing_target_end : "";
     for (std::size_t i = 0; i < options_.callers; ++i) {
         callers_.push_back(std::make_unique<caller>(environment_, checker_, i, random_()));
         ++running_callers_;
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -27,6 +27,8 @@
     std::size_t callers = 24;
     /// Whether a part of some prompts crashes the ranks that begin to answer it.
     bool crashing_part = false;
+    /// Whether one request on each route crashes the endpoints that run it.
+    bool crashing_request = false;
 };
 
 /// A complete site on loopback: the processes under test and, within this process, the store, the
@@ -59,7 +61,7 @@
         std::string address;
         std::string domain;
         std::uint64_t incarnation = 1;
-        /// A part of a prompt has crashed the rank, and it is not back yet.
+        /// A request has crashed the endpoint, and it is not back yet.
         bool crashed = false;
     };
 
@@ -92,8 +94,12 @@
     void build_rank(std::size_t i);
     void build_plain(std::size_t i);
     node make_node(const std::string& name, const std::string& settings, std::size_t store_number);
-    /// The rank is gone for a while, and the group forms again when it is back.
-    core::task<void> crash_rank(std::size_t i);
+    /// Lets a rank crash under the request and come back as another incarnation.
+    core::task<void> crash_rank(std::size_t i, arrival a);
+    /// The same for an endpoint without an engine.
+    core::task<void> crash_plain(std::size_t i, arrival a);
+    void record_crash(const arrival& a);
+    platform::standins::crash_trigger make_trigger(std::function<void(const arrival&)> crash) const;
     void build_link(endpoint& e, unsigned block, std::size_t i);
     template <class Handler>
     void listen(const core::asio::ip::tcp::endpoint& address, Handler& handler);
--- a/tests/soak/tst_guaranteechecker.cpp
+++ b/tests/soak/tst_guaranteechecker.cpp
@@ -312,7 +312,7 @@
     for (int i = 0; i < 12; ++i) {
         const sent_call s = send(i * 1s);
         arrival a = make_arrival(s);
-        a.crashes = true;
+        a.crashed_by = arrival::crash_cause::part;
         checker.on_arrival(a);
         checker.on_part_crash(a.at);
     }
@@ -325,7 +325,7 @@
     for (int i = 0; i < 8; ++i) {
         const sent_call s = send(i * 600ms);
         arrival a = make_arrival(s);
-        a.crashes = true;
+        a.crashed_by = arrival::crash_cause::part;
         checker.on_arrival(a);
         checker.on_part_crash(a.at);
     }
@@ -333,6 +333,48 @@
     CHECK(!has_finding("crashing-part"));
 }
 
+TEST(judges, endpoints_that_one_request_keeps_crashing_are_found)
+{
+    for (int i = 0; i < 8; ++i) {
+        arrival a = make_arrival(send(i * 2s, "/look/deadly"));
+        a.crashed_by = arrival::crash_cause::request;
+        checker.on_arrival(a);
+        checker.on_request_crash(a.target, a.at);
+    }
+    LONGS_EQUAL(8, checker.request_crashes());
+    LONGS_EQUAL(4, checker.late_crashing_requests());
+    checker.finish();
+    CHECK(has_finding("crashing-request"));
+}
+
+TEST(judges, several_requests_may_crash_three_endpoints_each)
+{
+    for (int i = 0; i < 9; ++i) {
+        arrival a = make_arrival(send(i * 2s, "/look/deadly" + std::to_string(i % 3)));
+        a.crashed_by = arrival::crash_cause::request;
+        checker.on_arrival(a);
+        checker.on_request_crash(a.target, a.at);
+    }
+    checker.finish();
+    CHECK(!has_finding("crashing-request"));
+}
+
+TEST(judges, a_sound_request_that_is_refused_as_a_suspect_is_found)
+{
+    const sent_call deadly = send(0s, "/look/deadly");
+    checker.on_request_crash(deadly.target, t0);
+    call_result refused = answered(deadly, 503);
+    refused.refused_as_suspect = true;
+    checker.on_end(deadly.request, refused);
+    LONGS_EQUAL(0, checker.sound_suspected());
+    const sent_call sound = send(1s);
+    refused = answered(sound, 503);
+    refused.refused_as_suspect = true;
+    checker.on_end(sound.request, refused);
+    checker.finish();
+    CHECK(has_finding("sound-suspected"));
+}
+
 TEST(judges, success_ratio_shows_a_system_that_does_not_recover)
 {
     serve(send(0ms));
