--- a/src/gateway/tests/tst_quarantinekeeper.cpp
+++ b/src/gateway/tests/tst_quarantinekeeper.cpp
@@ -27,9 +27,8 @@
     }
     void crash(std::uint64_t incarnation)
     {
-        guard.on_crash({deadly, workspace, core::endpoint_id("e"),
-                        core::failure_domain_id("fd"), core::incarnation{incarnation}, false,
-                        core::runtime_clock::now()});
+        guard.on_crash({deadly, workspace, core::endpoint_id("e"), core::failure_domain_id("fd"),
+                        core::incarnation{incarnation}, false, core::runtime_clock::now()});
     }
 
     core::workspace_id workspace{"w"};
