Follow evacuations of failure domains at the gateways

An operator's evacuation had no effect: requests reached the failure domain until its end.

The library evacuation holds the set of evacuated failure domains, merged from the store's listings and changes and from reports of peers by the store's era and revision. A gateway whose settings name evacuation_time follows the kind with long watch calls and the hints of the configuration feed, uses no endpoint before the set is known, and is not ready before the first listing. The endpoint directory leaves the failure domains out; attempts check it again right before they send. Waiting requests end with no_endpoint if none is left, where they used to name a limit of the endpoints. A feed can be asked for a listing, which ends an evacuation that a restored store lacks.

--- a/src/directory/endpointdirectory.cpp
+++ b/src/directory/endpointdirectory.cpp
@@ -134,6 +134,7 @@
 {
     const endpoint_record* const record = find(endpoint);
     return record != nullptr && !record->draining && !unconfirmed_.contains(endpoint) &&
+           !evacuations_awaited_ && !evacuated_.contains(record->failure_domain) &&
            !superseded(*record);
 }
 
--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -71,10 +71,21 @@
     /// names.
     std::vector<core::endpoint_id> expire(core::time_point now);
 
+    /// Lets no endpoint be used until the evacuations are known.
+    void await_evacuations() { evacuations_awaited_ = true; }
+    /// Replaces the set of evacuated failure domains.
+    void set_evacuated(std::set<core::failure_domain_id> domains)
+    {
+        evacuated_ = std::move(domains);
+        evacuations_awaited_ = false;
+    }
+    const std::set<core::failure_domain_id>& evacuated() const { return evacuated_; }
+
     const endpoint_record* find(const core::endpoint_id& endpoint) const;
     const std::map<core::endpoint_id, endpoint_record>& all() const { return records_; }
-    /// Whether the endpoint may be given new work: it is registered and not draining, and no
-    /// endpoint with a newer incarnation is registered at its address.
+    /// Whether the endpoint may be given new work: it is registered and not draining, its failure
+    /// domain is not evacuated, and no endpoint with a newer incarnation is registered at its
+    /// address.
     bool usable(const core::endpoint_id& endpoint) const;
     bool empty() const { return records_.empty(); }
     /// Number of removed endpoints that stay in use until the re-registration period ends.
@@ -107,6 +118,8 @@
     /// Number of endpoints when the store recovered, and those that were removed since then.
     std::size_t known_at_recovery_ = 0;
     std::set<core::endpoint_id> removed_since_recovery_;
+    std::set<core::failure_domain_id> evacuated_;
+    bool evacuations_awaited_ = false;
 };
 
 } // namespace currantpitch::directory
--- a/src/directory/tests/tst_directory.cpp
+++ b/src/directory/tests/tst_directory.cpp
@@ -197,3 +197,17 @@
     LONGS_EQUAL(1, known.expire(now + directory::reregistration_period).size());
     CHECK(!known.usable(a));
 }
+
+TEST(directories, endpoints_of_an_evacuated_failure_domain_get_no_new_work)
+{
+    directory::endpoint_record evacuated = record("a");
+    evacuated.failure_domain = core::failure_domain_id("fd-a");
+    known.on_listing({evacuated, record("b")}, now);
+    known.await_evacuations();
+    CHECK(!known.usable(b));
+    known.set_evacuated({evacuated.failure_domain, core::failure_domain_id("unknown")});
+    CHECK(!known.usable(a));
+    CHECK(known.usable(b));
+    known.set_evacuated({});
+    CHECK(known.usable(a));
+}
--- a/src/dispatch/workqueue.cpp
+++ b/src/dispatch/workqueue.cpp
@@ -9,8 +9,13 @@
 
 namespace {
 
-error limited_error()
+/// Error for a request that cannot start before its deadline, because no endpoint is left or all of
+/// them limit their requests.
+error cannot_start_error(const scheduler& s, const dispatch_request& request)
 {
+    if (!s.has_candidate(request)) {
+        return {errc::unavailable, "no endpoint"};
+    }
     return {errc::limited, "no endpoint accepts a request before the deadline"};
 }
 
@@ -48,7 +53,7 @@
         }
     }
     if (slot_scheduler_.earliest_start(request, core::runtime_clock::now()) > request.deadline) {
-        co_return limited_error();
+        co_return cannot_start_error(slot_scheduler_, request);
     }
     const std::optional<ticket> number = slot_scheduler_.enqueue(request);
     if (!number) {
@@ -62,7 +67,7 @@
         process_waiting();
     }
     if (!registered.state->endpoint && core::runtime_clock::now() < request.deadline) {
-        co_return limited_error();
+        co_return cannot_start_error(slot_scheduler_, request);
     }
     if (!registered.state->endpoint) {
         co_return error{errc::timeout, "no free slot before the deadline"};
--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -18,6 +18,13 @@
 inline constexpr objectstore::feed_timing endpoint_feed_timing{std::chrono::milliseconds(8000),
                                                                std::chrono::milliseconds(900),
                                                                std::chrono::milliseconds(900)};
+/// Wait time of a watch call for evacuations. They are rare and need no confirmation, so the calls
+/// last as long as the store allows.
+inline constexpr std::chrono::milliseconds evacuation_watch_wait{15000};
+/// Fraction of the evacuation time after which a watch call may be repeated, when the store has
+/// changed and its answer may be lost. The configuration feed's calls and the repeated one need the
+/// rest.
+inline constexpr double evacuation_repeat_fraction = 0.4;
 /// Timing of the host poll. Hosts may be seen some seconds late, because running entries report
 /// their state directly to their peers.
 inline constexpr objectstore::poll_timing host_poll_timing{std::chrono::milliseconds(3000),
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/configurationexchange.h"
+#include "gateway/evacuationfollower.h"
 #include "gateway/evidenceexchange.h"
 #include "gateway/feedsinks.h"
 #include "gateway/gatewayconstants.h"
@@ -77,6 +78,7 @@
     endpoint_sink<Site> endpoint_sink_;
     host_sink host_sink_;
     quarantine_keeper<typename Site::store> quarantines_;
+    evacuation_follower<Site> evacuations_;
     objectstore::kind_feed<typename Site::store, configuration_sink<Site>> configuration_feed_;
     objectstore::kind_feed<typename Site::store, endpoint_sink<Site>> endpoint_feed_;
     objectstore::kind_poll<typename Site::store, host_sink> host_feed_;
@@ -119,6 +121,7 @@
       configurations_(configuration_sink_, *hub_), endpoint_sink_(context_),
       host_sink_(roster_, [this] { on_hosts(); }),
       quarantines_(executor, store_, context_.requests),
+      evacuations_(executor, store_, context_, *hub_, settings_.evacuation_time, seed + 5),
       configuration_feed_(executor, store_, Site::configuration_key().kind, configuration_sink_,
                           configuration_feed_timing, seed + 1),
       endpoint_feed_(executor, store_, Site::endpoint_kind(), endpoint_sink_, endpoint_feed_timing,
@@ -140,6 +143,7 @@
         evidence_.on_peer_up(h.host);
         endpoint_signals_.on_peer_up(h.host);
         configurations_.on_peer_up(h.host);
+        evacuations_.on_peer_up(h.host);
     };
     hub_->on_peer_down = [this](const membership::peer_hello& h) {
         core::log_event("peer_down").field("peer", h.host).field("incarnation", h.incarnation);
@@ -205,12 +209,15 @@
     // has lost answers.
     configuration_feed_.on_answer = [this](core::revision at) {
         endpoint_feed_.on_store_progress(at);
+        evacuations_.on_store_progress(at);
     };
     configuration_feed_.on_failure = [this] {
         endpoint_feed_.on_store_doubtful();
+        evacuations_.on_store_doubtful();
     };
     core::spawn(executor_, configuration_feed_.run());
     core::spawn(executor_, endpoint_feed_.run());
+    core::spawn(executor_, evacuations_.run());
     core::spawn(executor_, host_feed_.run());
     core::spawn(executor_, quarantine_feed_.run());
     core::spawn(executor_, quarantines_.run());
@@ -243,7 +250,7 @@
     const core::duration max_age =
         std::chrono::duration_cast<core::duration>(settings_.revocation_time * max_ready_age_ratio);
     return !context_.stopping && context_.configuration.known() && endpoint_sink_.listed() &&
-           context_.configuration.age() <= max_age;
+           evacuations_.ready() && context_.configuration.age() <= max_age;
 }
 
 template <site_platform Site>
@@ -260,7 +267,8 @@
 {
     if (evidence_.on_message(peer, type, payload) ||
         endpoint_signals_.on_message(peer, type, payload) ||
-        configurations_.on_message(peer, type, payload)) {
+        configurations_.on_message(peer, type, payload) ||
+        evacuations_.on_message(peer, type, payload)) {
         return;
     }
     if (type != dispatch::load_report_type) {
@@ -332,6 +340,7 @@
         if (context_.endpoints.readmit(now) || !expired.empty()) {
             context_.apply_endpoints();
         }
+        evacuations_.update();
         context_.connections.expire(now);
         for (const std::pair<const core::service_id, std::unique_ptr<proxy::service_state>>& entry :
              context_.services) {
--- a/src/gateway/siteplatform.h
+++ b/src/gateway/siteplatform.h
@@ -33,6 +33,12 @@
     {
         S::endpoint_kind()
         } -> std::same_as<std::string>;
+    {
+        S::evacuation_kind()
+        } -> std::same_as<std::string>;
+    {
+        S::decode_evacuation(o)
+        } -> std::same_as<core::result<core::failure_domain_id>>;
     {
         S::decode_configuration(o.body)
         } -> std::same_as<core::result<routes::configuration>>;
--- a/src/gateway/tests/hubprocess.h
+++ b/src/gateway/tests/hubprocess.h
@@ -45,10 +45,11 @@
     core::asio::ip::tcp::acceptor acceptor;
 };
 
-/// Runs the context until the condition holds; fails the test if it does not within seconds.
-inline void run_until(core::asio::io_context& io, const std::function<bool()>& reached)
+/// Runs the context until the condition holds; fails the test if it does not within the limit.
+inline void run_until(core::asio::io_context& io, const std::function<bool()>& reached,
+                      std::chrono::milliseconds limit = std::chrono::seconds(5))
 {
-    for (int i = 0; i < 1000 && !reached(); ++i) {
+    for (int i = 0; i < limit / std::chrono::milliseconds(5) && !reached(); ++i) {
         io.restart();
         io.run_for(std::chrono::milliseconds(5));
     }
--- a/src/objectstore/kindfeed.h
+++ b/src/objectstore/kindfeed.h
@@ -38,6 +38,9 @@
     std::chrono::milliseconds batch_delay{0};
     /// Upper bound on the delay before a failed call is retried. The store counts failed calls too.
     std::chrono::milliseconds max_retry_delay{600};
+    /// Minimum interval between two watch calls of which the first had no answer. Limits the calls
+    /// while objects of other kinds change in quick succession.
+    std::chrono::milliseconds min_repeat_interval = min_watch_repeat_interval;
 };
 
 /// Follows the objects of one kind in the store: lists them, then watches for changes. A failed
@@ -75,6 +78,13 @@
         hint_.notify();
     }
 
+    /// Lists the objects again instead of waiting for the answer to the current watch call.
+    void list_again()
+    {
+        listing_requested_ = true;
+        hint_.notify();
+    }
+
     /// Is called with the store's revision when a watch call has returned.
     std::function<void(core::revision)> on_answer;
     /// Is called when a call failed or timed out.
@@ -82,6 +92,7 @@
 
 private:
     core::task<core::result<core::revision>> list();
+    /// Watches for changes from the revision on, until a new listing is needed. Returns the reason.
     core::task<core::error> follow(core::revision from);
     /// Records what is known when a watch call from that revision is sent.
     void begin_call(core::revision from);
@@ -104,6 +115,7 @@
     core::revision revision_at_call_;
     core::time_point call_sent_at_;
     bool doubtful_ = false;
+    bool listing_requested_ = false;
 };
 
 template <store_client Store, feed_sink Sink>
@@ -118,6 +130,9 @@
         }
         core::revision from = at.value();
         const core::error ended = co_await follow(from);
+        if (listing_requested_) {
+            continue;
+        }
         report_failure("watch", ended);
         co_await wait_before_retry();
     }
@@ -136,6 +151,7 @@
 core::task<core::result<core::revision>> kind_feed<Store, Sink>::list()
 {
     const call_context call{kind_, core::runtime_clock::now() + call_timeout};
+    listing_requested_ = false;
     const std::vector<std::string> kinds{kind_};
     const core::result<listing> snapshot = co_await store_.list(kinds, call);
     if (!snapshot) {
@@ -198,6 +214,9 @@
         if (failure.code == core::errc::stale) {
             co_return failure;
         }
+        if (missing && listing_requested_) {
+            co_return core::error{core::errc::stale, "a listing was requested"};
+        }
         if (missing) {
             core::counter_for("store_watches_repeated_total", "kind=\"" + kind_ + "\"").add();
             continue;
@@ -218,12 +237,13 @@
 template <store_client Store, feed_sink Sink>
 core::task<void> kind_feed<Store, Sink>::wait_for_missing_answer()
 {
-    while (!doubtful_ && store_revision_ <= revision_at_call_) {
+    while (!doubtful_ && !listing_requested_ && store_revision_ <= revision_at_call_) {
         co_await hint_.wait();
     }
     const core::time_point now = core::runtime_clock::now();
-    const core::time_point due = doubtful_ ? now : now + missing_answer_delay;
-    co_await core::sleep_for(std::max(due, call_sent_at_ + min_watch_repeat_interval) - now);
+    const bool at_once = doubtful_ || listing_requested_;
+    const core::time_point due = at_once ? now : now + missing_answer_delay;
+    co_await core::sleep_for(std::max(due, call_sent_at_ + timing_.min_repeat_interval) - now);
 }
 
 template <store_client Store, feed_sink Sink>
--- a/src/objectstore/objectstoreconstants.h
+++ b/src/objectstore/objectstoreconstants.h
@@ -17,8 +17,7 @@
 /// Time within which a watch call is answered after the store has reached a revision with a change.
 /// After it the call is repeated, as its answer may have been lost.
 inline constexpr std::chrono::milliseconds missing_answer_delay{300};
-/// Minimum interval between two watch calls of which the first had no answer. Limits the calls
-/// while objects of other kinds change in quick succession.
+/// Default of feed_timing::min_repeat_interval.
 inline constexpr std::chrono::milliseconds min_watch_repeat_interval{1000};
 /// Maximum size of an object's body, in bytes.
 inline constexpr std::size_t max_object_bytes = 1024 * 1024;
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -61,6 +61,8 @@
     bool stream() const { return routes::is_stream(routed_.route->retry); }
     core::task<core::result<http::client_connection>>
     connect(const directory::endpoint_record& record);
+    /// Outcome of an attempt whose endpoint must not be sent the request any more.
+    static attempt_outcome endpoint_gone();
     core::task<attempt_outcome> exchange(http::client_connection& connection,
                                          const directory::endpoint_record& record);
     core::task<attempt_outcome> read_answer(http::client_connection& connection,
@@ -123,9 +125,8 @@
     using namespace core::asio::experimental::awaitable_operators;
     attempt_outcome outcome;
     const directory::endpoint_record* const found = context_.endpoints.find(slot.endpoint());
-    if (found == nullptr || found->draining) {
-        outcome.reason = "endpoint_gone";
-        co_return outcome;
+    if (found == nullptr || !context_.endpoints.usable(slot.endpoint())) {
+        co_return endpoint_gone();
     }
     const directory::endpoint_record record = *found;
     core::result<http::client_connection> connection = co_await connect(record);
@@ -134,8 +135,7 @@
         co_return outcome;
     }
     if (!context_.endpoints.usable(slot.endpoint())) {
-        outcome.reason = "endpoint_gone";
-        co_return outcome;
+        co_return endpoint_gone();
     }
     if (context_.signals.declines(slot.endpoint(), core::runtime_clock::now())) {
         outcome.reason = "endpoint_declines";
@@ -176,6 +176,16 @@
     co_return outcome;
 }
 
+template <proxy_dialect Dialect>
+attempt_outcome endpoint_attempt<Dialect>::endpoint_gone()
+{
+    attempt_outcome outcome;
+    outcome.reason = "endpoint_gone";
+    // Tells nothing about the endpoint, which may be usable again before long.
+    outcome.work = dispatch::work_outcome::abandoned;
+    return outcome;
+}
+
 template <proxy_dialect Dialect>
 core::task<void> endpoint_attempt<Dialect>::record_crash(const directory::endpoint_record& record)
 {
@@ -220,6 +230,10 @@
 endpoint_attempt<Dialect>::exchange(http::client_connection& connection,
                                     const directory::endpoint_record& record)
 {
+    // The task of the exchange may begin later than the check in run.
+    if (!context_.endpoints.usable(record.endpoint)) {
+        co_return endpoint_gone();
+    }
     endpoint_call call;
     call.endpoint = record.endpoint;
     if (routed_.workspace != nullptr) {
--- a/src/settings/nodesettings.cpp
+++ b/src/settings/nodesettings.cpp
@@ -16,6 +16,11 @@
     s.readiness_address = listen.required_address("readiness");
     s.revocation_time = root.optional_duration("revocation_time", s.revocation_time,
                                                min_revocation_time, max_stop_timeout);
+    const std::chrono::milliseconds evacuation_time =
+        root.optional_duration("evacuation_time", {}, min_evacuation_time, max_stop_timeout);
+    if (evacuation_time.count() > 0) {
+        s.evacuation_time = evacuation_time;
+    }
     yaml_reader retries = root.required_section("retries");
     s.retry_ratio = retries.optional_real("ratio", s.retry_ratio, 0, max_retry_ratio);
     s.retry_slack = retries.optional_real("slack", s.retry_slack, 0, max_retry_slack);
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -37,6 +37,9 @@
     double retry_ratio = 0.1;
     double retry_slack = 0;
     std::chrono::milliseconds retry_window{10000};
+    /// Gateways only: time within which the evacuation of a failure domain must take effect
+    /// everywhere. Evacuations are followed only where it is set.
+    std::optional<std::chrono::milliseconds> evacuation_time;
 
     /// Rank agents only: address of the engine on this host and the service that it belongs to.
     address engine_address;
--- a/src/settings/settingsconstants.h
+++ b/src/settings/settingsconstants.h
@@ -19,6 +19,9 @@
 /// Minimum time for a key revocation to take effect everywhere. It must cover several round trips
 /// to the store.
 inline constexpr std::chrono::milliseconds min_revocation_time{1000};
+/// Minimum time for the evacuation of a failure domain to take effect everywhere. It must cover the
+/// detection of a lost answer of the store.
+inline constexpr std::chrono::milliseconds min_evacuation_time{3000};
 /// Minimum window over which retries are counted.
 inline constexpr std::chrono::milliseconds min_retry_window{1000};
 
--- a/src/settings/tests/tst_nodesettings.cpp
+++ b/src/settings/tests/tst_nodesettings.cpp
@@ -70,3 +70,13 @@
     CHECK_EQUAL(1, settings::read_node_settings("role: [", "a.yaml").problems.size());
     CHECK_EQUAL(1, settings::load_node_settings("/nonexistent.yaml").problems.size());
 }
+
+TEST(node_settings_file, evacuations_are_followed_only_where_their_time_is_set)
+{
+    CHECK(!settings::read_node_settings(gateway_text, "a.yaml").settings->evacuation_time);
+    const std::string text = gateway_text;
+    const settings::node_settings_report report =
+        settings::read_node_settings(text + "evacuation_time: 5000ms\n", "a.yaml");
+    CHECK(report.settings->evacuation_time == 5s);
+    CHECK(!settings::read_node_settings(text + "evacuation_time: 10ms\n", "a.yaml").settings);
+}
