Reserve slots of a service for more urgent requests

overload::priority_reserve measures the arrival rate and service time of each priority. It acts only where requests of two priorities have been seen; otherwise the fair share decides as before. Requests that cannot start behind the queue ahead of them are refused at once, with the reason reserved.

--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -25,6 +25,8 @@
         return "refused";
     case errc::stale:
         return "stale";
+    case errc::reserved:
+        return "reserved";
     case errc::limited:
         return "limited";
     case errc::crashed:
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -19,6 +19,7 @@
     too_large,        ///< a size limit is exceeded
     refused,          ///< the peer rejected the operation; it had no effect
     stale,            ///< the sender's epoch, fence or version is outdated
+    reserved,         ///< what remains is kept for more urgent requests; there was no effect
     limited,          ///< the endpoints accept no more requests for now; there was no effect
     crashed,          ///< the endpoint failed while running the request
 };
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "core/counters.h"
 #include "dispatch/dispatchconstants.h"
+#include "overload/waitpolicy.h"
 
 #include <algorithm>
 #include <cmath>
@@ -61,12 +62,13 @@
 
 void scheduler::on_peer_load(const core::host_id& peer,
                              const std::map<core::endpoint_id, unsigned>& load,
-                             core::time_point now)
+                             core::time_point now, const overload::load_by_priority& by_priority)
 {
     remove_peer(peer);
     peer_state& state = peers_[peer];
-    state = peer_state{load, now};
+    state = peer_state{load, by_priority, now};
     update_peer_totals(state, true);
+    update_reserve();
     oldest_report_ = std::min(oldest_report_, now);
 }
 
@@ -79,6 +81,17 @@
     }
 }
 
+void scheduler::update_reserve()
+{
+    overload::load_by_priority sum;
+    for (const std::pair<const core::host_id, peer_state>& peer : peers_) {
+        for (const std::pair<const int, overload::priority_load>& entry : peer.second.by_priority) {
+            sum[entry.first] += entry.second;
+        }
+    }
+    reserve_.set_peer_load(std::move(sum));
+}
+
 void scheduler::update_peer_totals(const peer_state& peer, bool added)
 {
     for (const std::pair<const core::endpoint_id, unsigned>& entry : peer.load) {
@@ -105,6 +118,7 @@
         oldest_report_ = std::min(oldest_report_, it->second.reported_at);
         ++it;
     }
+    update_reserve();
 }
 
 unsigned scheduler::peer_load(const core::endpoint_id& endpoint) const
@@ -193,7 +207,7 @@
     using backpressure::admission;
     const bool ignore_ejections = too_many_ejected(now);
     // Permits are shared out among the entries already.
-    const bool limited_only = fair_share_used(now);
+    const bool limited_only = !has_room(request.priority, now);
     std::vector<candidate> found;
     bool any_permitted = false;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
@@ -221,20 +235,57 @@
     return found;
 }
 
-bool scheduler::fair_share_used(core::time_point now)
+scheduler::slot_usage scheduler::usage(core::time_point now)
 {
     remove_expired_reports(now);
-    double slots = 0;
-    double used = 0;
-    double own = 0;
+    slot_usage u;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
         const endpoint_state& s = entry.second;
-        slots += usable_slots(s);
-        used += s.own_requests + peer_load(entry.first);
-        own += s.own_requests;
+        u.slots += usable_slots(s);
+        u.used += s.own_requests + peer_load(entry.first);
+        u.own += s.own_requests;
     }
-    const double fair_share = std::max(slots / static_cast<double>(process_count_), 1.0);
-    return used >= busy_fraction * slots && own + 1 > fair_share;
+    return u;
+}
+
+bool scheduler::fair_share_used(core::time_point now)
+{
+    const slot_usage u = usage(now);
+    const double fair_share = std::max(u.slots / static_cast<double>(process_count_), 1.0);
+    return u.used >= busy_fraction * u.slots && u.own + 1 > fair_share;
+}
+
+std::optional<overload::priority_reserve::decision>
+scheduler::reserve_decision(int priority, core::time_point now)
+{
+    if (!reserve_.active()) {
+        return std::nullopt;
+    }
+    const slot_usage u = usage(now);
+    return reserve_.room_for(priority,
+                             {u.slots, u.used, static_cast<double>(process_count_),
+                              process_count_ == 1 || !peers_.empty()},
+                             now);
+}
+
+bool scheduler::has_room(int priority, core::time_point now)
+{
+    const std::optional<overload::priority_reserve::decision> d = reserve_decision(priority, now);
+    return d ? d->room : !fair_share_used(now);
+}
+
+bool scheduler::reserved(const dispatch_request& request, core::time_point now)
+{
+    return reserve_.active() && !has_room(request.priority, now);
+}
+
+bool scheduler::may_start_in_time(const dispatch_request& request, core::time_point now)
+{
+    const std::optional<overload::priority_reserve::decision> d =
+        reserve_decision(request.priority, now);
+    return !d || overload::may_start_in_time(
+                     reserve_.waiting(request.priority),
+                     reserve_.expected_starts(request.priority, *d, request.deadline - now));
 }
 
 const scheduler::endpoint_state* scheduler::choose(const dispatch_request& request,
@@ -272,7 +323,7 @@
                              : std::optional<core::endpoint_id>(chosen->properties.endpoint);
 }
 
-bool scheduler::start_at(const core::endpoint_id& endpoint, core::time_point now)
+bool scheduler::start_at(const core::endpoint_id& endpoint, core::time_point now, int priority)
 {
     const auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end() || !found->second.available ||
@@ -280,6 +331,7 @@
         return false;
     }
     ++found->second.own_requests;
+    reserve_.on_start(priority);
     if (signals_ != nullptr) {
         signals_->take_permit(endpoint);
     }
@@ -294,7 +346,7 @@
         return std::nullopt;
     }
     const core::endpoint_id endpoint = chosen->properties.endpoint;
-    start_at(endpoint, now);
+    start_at(endpoint, now, request.priority);
     return endpoint;
 }
 
@@ -315,28 +367,43 @@
     }
     last_ticket_ = last_ticket_.next();
     waiting_.insert(waiting_request{last_ticket_, request});
+    reserve_.on_waiting(request.priority, 1);
     return last_ticket_;
 }
 
 void scheduler::cancel(ticket number)
 {
-    std::erase_if(waiting_, [number](const waiting_request& w) { return w.number == number; });
+    std::erase_if(waiting_, [this, number](const waiting_request& w) {
+        if (w.number == number) {
+            reserve_.on_waiting(w.request.priority, -1);
+        }
+        return w.number == number;
+    });
 }
 
 std::vector<dispatch_grant> scheduler::take_grants(core::time_point now)
 {
     std::vector<dispatch_grant> grants;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
+        const int priority = it->request.priority;
         const std::optional<core::endpoint_id> endpoint = start(it->request, now);
         if (!endpoint && it->request.excluded.empty()) {
-            // Without exclusions it could run at any endpoint, so later requests find none either.
-            break;
+            // Without exclusions it could run at any endpoint, so later requests find none either,
+            // unless a less urgent priority has not used the part that it keeps.
+            if (!reserved(it->request, now)) {
+                break;
+            }
+            it = std::find_if(it, waiting_.end(), [priority](const waiting_request& w) {
+                return w.request.priority != priority;
+            });
+            continue;
         }
         if (!endpoint) {
             ++it;
             continue;
         }
-        grants.push_back({it->number, *endpoint});
+        grants.push_back({it->number, *endpoint, priority});
+        reserve_.on_waiting(priority, -1);
         it = waiting_.erase(it);
     }
     request_permits(now);
@@ -354,14 +421,18 @@
             continue;
         }
         expired.push_back(it->number);
+        reserve_.on_waiting(it->request.priority, -1);
         it = waiting_.erase(it);
     }
     return expired;
 }
 
 void scheduler::finish(const core::endpoint_id& endpoint, work_outcome outcome,
-                       core::duration service_time, core::time_point now)
+                       core::duration service_time, core::time_point now, int priority)
 {
+    // A grant that no request has taken ends without a service time.
+    const bool ran = outcome != work_outcome::refused && service_time > core::duration::zero();
+    reserve_.on_finish(priority, service_time, ran);
     const auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end()) {
         return;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -4,6 +4,7 @@
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
 #include "dispatch/loadreporttiming.h"
+#include "overload/priorityreserve.h"
 
 #include <map>
 #include <optional>
@@ -50,6 +51,7 @@
 struct dispatch_grant {
     ticket number;
     core::endpoint_id endpoint;
+    int priority = 0;
 };
 
 /// Decides when and at which endpoint of one service a request of this entry runs. An endpoint's
@@ -57,8 +59,9 @@
 /// scheduler picks the least loaded of a few randomly sampled endpoints. If every entry picked the
 /// least loaded one of all, they would overload it before the next load reports arrive. Where the
 /// service's endpoints work independently, the load is weighted by the endpoint's service time.
-/// Once most slots are in use, an entry is limited to its fair share of them. An endpoint that
-/// limits its requests is chosen only with a permit, which is taken along with the slot.
+/// Once most slots are in use, an entry is limited to its fair share of them, or, where requests
+/// of several priorities use the service, to what the reserve leaves to each priority. An endpoint
+/// that limits its requests is chosen only with a permit, which is taken along with the slot.
 class scheduler {
 public:
     scheduler(core::failure_domain_id own_domain, bool weigh_by_latency, std::uint64_t seed)
@@ -82,9 +85,10 @@
     /// Sets what the endpoints say of the requests that they accept. The signals must outlive the
     /// scheduler.
     void set_signals(backpressure::endpoint_signals& signals) { signals_ = &signals; }
-    /// Replaces the peer's load report.
+    /// Replaces the peer's load report: its running requests by endpoint, and its load of this
+    /// service by priority.
     void on_peer_load(const core::host_id& peer, const std::map<core::endpoint_id, unsigned>& load,
-                      core::time_point now);
+                      core::time_point now, const overload::load_by_priority& by_priority = {});
     /// Removes the peer's load report.
     void remove_peer(const core::host_id& peer);
 
@@ -95,8 +99,15 @@
     /// Requests a permit of the endpoint for a request that does not wait for long.
     void request_permit(const core::endpoint_id& endpoint, core::time_point now);
     bool awaits_permit(const core::endpoint_id& endpoint, core::time_point now) const;
-    /// Starts the request at the endpoint if it admits requests. Returns whether it has started.
-    bool start_at(const core::endpoint_id& endpoint, core::time_point now);
+    /// Counts a new request, before it starts or waits.
+    void on_arrival(int priority, core::time_point now) { reserve_.on_arrival(priority, now); }
+    /// Starts a request of the priority at the endpoint if it admits requests. Returns whether it
+    /// has started.
+    bool start_at(const core::endpoint_id& endpoint, core::time_point now, int priority = 0);
+    /// Whether the request does not start because its slots are reserved for other priorities.
+    bool reserved(const dispatch_request& request, core::time_point now);
+    /// Whether the request may start before its deadline, after the waiting ones ahead of it.
+    bool may_start_in_time(const dispatch_request& request, core::time_point now);
     /// Starts the request and returns its endpoint. Returns nullopt if the request has to wait or
     /// no endpoint is left.
     std::optional<core::endpoint_id> start(const dispatch_request& request, core::time_point now);
@@ -115,10 +126,15 @@
     std::vector<ticket> take_expired(core::time_point now);
     /// Ends a running request.
     void finish(const core::endpoint_id& endpoint, work_outcome outcome,
-                core::duration service_time, core::time_point now);
+                core::duration service_time, core::time_point now, int priority = 0);
 
     /// Number of this entry's running requests by endpoint.
     std::map<core::endpoint_id, unsigned> own_load() const;
+    const overload::priority_reserve& reserve() const { return reserve_; }
+    /// Decision of the reserve on a request of the priority that would start now. Nothing is
+    /// decided while requests of one priority only have been seen.
+    std::optional<overload::priority_reserve::decision> reserve_decision(int priority,
+                                                                         core::time_point now);
     /// Number of waiting requests.
     std::size_t waiting() const { return waiting_.size(); }
     /// Number of endpoints, including removed ones that still run requests.
@@ -144,6 +160,7 @@
     };
     struct peer_state {
         std::map<core::endpoint_id, unsigned> load;
+        overload::load_by_priority by_priority;
         core::time_point reported_at;
     };
     struct waiting_request {
@@ -173,11 +190,22 @@
                                       core::time_point now);
     /// Requests permits for the waiting requests, at most one for each.
     void request_permits(core::time_point now);
+    /// Slots of all endpoints, and how many of them are in use.
+    struct slot_usage {
+        double slots = 0;
+        double used = 0;
+        double own = 0;
+    };
+    slot_usage usage(core::time_point now);
     /// Whether most slots are in use and this entry uses its fair share of them.
     bool fair_share_used(core::time_point now);
+    /// Whether the reserve or the fair share leaves a slot to a request of the priority.
+    bool has_room(int priority, core::time_point now);
     unsigned peer_load(const core::endpoint_id& endpoint) const;
     void update_peer_totals(const peer_state& peer, bool added);
     void remove_expired_reports(core::time_point now);
+    /// Gives the reserve the sum of the peers' reports.
+    void update_reserve();
     double score(const endpoint_state& s, unsigned load, core::time_point now) const;
     double mean_latency() const;
     bool too_many_ejected(core::time_point now) const;
@@ -199,6 +227,7 @@
     std::chrono::milliseconds report_lifetime_ = min_load_report_lifetime;
     std::set<waiting_request, by_urgency> waiting_;
     ticket last_ticket_;
+    overload::priority_reserve reserve_;
     /// Exponential moving average of service times, for estimating when a slot becomes free.
     double mean_service_ms_ = 0;
 };
--- a/src/dispatch/workqueue.cpp
+++ b/src/dispatch/workqueue.cpp
@@ -14,6 +14,11 @@
     return {errc::limited, "no endpoint accepts a request before the deadline"};
 }
 
+error reserved_error()
+{
+    return {errc::reserved, "the remaining slots are reserved for other priorities"};
+}
+
 } // namespace
 
 work_queue::slot::~slot()
@@ -22,7 +27,7 @@
         return;
     }
     const core::time_point now = core::runtime_clock::now();
-    queue_->slot_scheduler_.finish(endpoint_, outcome_, now - started_at_, now);
+    queue_->slot_scheduler_.finish(endpoint_, outcome_, now - started_at_, now, priority_);
     queue_->process_waiting();
 }
 
@@ -32,7 +37,7 @@
     queue.waiters_.erase(number);
     if (state->endpoint) {
         // A slot was granted, but the task was cancelled before it took it.
-        slot unused(queue, *state->endpoint);
+        slot unused(queue, *state->endpoint, state->priority);
     }
 }
 
@@ -41,20 +46,27 @@
     if (!slot_scheduler_.has_candidate(request)) {
         co_return error{errc::unavailable, "no endpoint"};
     }
+    if (request.excluded.empty()) {
+        slot_scheduler_.on_arrival(request.priority, core::runtime_clock::now());
+    }
     if (slot_scheduler_.waiting() == 0 || !request.excluded.empty()) {
         const std::optional<core::endpoint_id> endpoint = co_await start_now(request);
         if (endpoint) {
-            co_return slot(*this, *endpoint);
+            co_return slot(*this, *endpoint, request.priority);
         }
     }
     if (slot_scheduler_.earliest_start(request, core::runtime_clock::now()) > request.deadline) {
         co_return limited_error();
     }
+    if (!slot_scheduler_.may_start_in_time(request, core::runtime_clock::now())) {
+        co_return reserved_error();
+    }
     const std::optional<ticket> number = slot_scheduler_.enqueue(request);
     if (!number) {
         co_return error{errc::refused, "too many requests are waiting"};
     }
     registration registered{*this, *number, std::make_shared<waiter>(executor_)};
+    registered.state->priority = request.priority;
     waiters_.emplace(*number, registered.state);
     process_waiting();
     while (!registered.state->endpoint && !registered.state->expired) {
@@ -64,10 +76,15 @@
     if (!registered.state->endpoint && core::runtime_clock::now() < request.deadline) {
         co_return limited_error();
     }
+    if (!registered.state->endpoint &&
+        slot_scheduler_.reserved(request, core::runtime_clock::now())) {
+        co_return reserved_error();
+    }
     if (!registered.state->endpoint) {
         co_return error{errc::timeout, "no free slot before the deadline"};
     }
-    slot acquired(*this, *std::exchange(registered.state->endpoint, std::nullopt));
+    slot acquired(*this, *std::exchange(registered.state->endpoint, std::nullopt),
+                  request.priority);
     co_return acquired;
 }
 
@@ -76,7 +93,7 @@
     for (int requested = 0; requested < backpressure::max_permit_requests; ++requested) {
         const core::time_point now = core::runtime_clock::now();
         const std::optional<core::endpoint_id> endpoint = slot_scheduler_.preferred(request, now);
-        if (!endpoint || slot_scheduler_.start_at(*endpoint, now)) {
+        if (!endpoint || slot_scheduler_.start_at(*endpoint, now, request.priority)) {
             co_return endpoint;
         }
         const core::time_point give_up_at =
@@ -86,7 +103,7 @@
                core::runtime_clock::now() < give_up_at) {
             co_await permit_change_.wait_until(give_up_at);
         }
-        if (slot_scheduler_.start_at(*endpoint, core::runtime_clock::now())) {
+        if (slot_scheduler_.start_at(*endpoint, core::runtime_clock::now(), request.priority)) {
             co_return endpoint;
         }
     }
@@ -105,7 +122,8 @@
     for (const dispatch_grant& grant : slot_scheduler_.take_grants(now)) {
         const auto found = waiters_.find(grant.number);
         if (found == waiters_.end()) {
-            slot_scheduler_.finish(grant.endpoint, work_outcome::abandoned, {}, now);
+            slot_scheduler_.finish(grant.endpoint, work_outcome::abandoned, {}, now,
+                                   grant.priority);
             continue;
         }
         found->second->endpoint = grant.endpoint;
--- a/src/dispatch/workqueue.h
+++ b/src/dispatch/workqueue.h
@@ -25,14 +25,14 @@
     /// another one was set.
     class slot {
     public:
-        slot(work_queue& queue, core::endpoint_id endpoint)
-            : queue_(&queue), endpoint_(std::move(endpoint)),
+        slot(work_queue& queue, core::endpoint_id endpoint, int priority)
+            : queue_(&queue), endpoint_(std::move(endpoint)), priority_(priority),
               started_at_(core::runtime_clock::now())
         {
         }
         slot(slot&& other) noexcept
             : queue_(std::exchange(other.queue_, nullptr)), endpoint_(std::move(other.endpoint_)),
-              started_at_(other.started_at_), outcome_(other.outcome_)
+              priority_(other.priority_), started_at_(other.started_at_), outcome_(other.outcome_)
         {
         }
         slot& operator=(slot&&) = delete;
@@ -45,14 +45,16 @@
     private:
         work_queue* queue_;
         core::endpoint_id endpoint_;
+        int priority_;
         core::time_point started_at_;
         work_outcome outcome_ = work_outcome::abandoned;
     };
 
     /// Acquires a slot for the request, immediately or after waiting. Fails with errc::unavailable
     /// if no endpoint can run it, errc::limited if all endpoints limit their requests and none
-    /// accepts it before the deadline, errc::refused if too many requests are waiting, and
-    /// errc::timeout if the deadline passed.
+    /// accepts it before the deadline, errc::refused if too many requests are waiting,
+    /// errc::reserved if slots are left to other priorities and none remains before the deadline,
+    /// and errc::timeout if the deadline passed.
     core::task<core::result<slot>> acquire_slot(dispatch_request request);
 
     scheduler& slot_scheduler() { return slot_scheduler_; }
@@ -68,6 +70,7 @@
         explicit waiter(const core::asio::any_io_executor& e) : done(e) {}
         core::notifier done;
         std::optional<core::endpoint_id> endpoint;
+        int priority = 0;
         bool expired = false;
     };
     /// Removes a waiting request when its task ends, also by cancellation.
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -18,6 +18,8 @@
 inline constexpr std::string_view request_suspected_reason = "request_suspected";
 /// Reason of a refusal because all endpoints limit their requests.
 inline constexpr std::string_view endpoints_limited_reason = "endpoints_limited";
+/// Reason of a refusal because the remaining slots are kept for more urgent requests.
+inline constexpr std::string_view reserved_reason = "reserved";
 /// Timeout of the connection that shows whether an endpoint that broke off has crashed. One that
 /// has ended refuses it at once.
 inline constexpr std::chrono::milliseconds crash_check_timeout{200};
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -127,6 +127,8 @@
         return "no_endpoint";
     case core::errc::limited:
         return endpoints_limited_reason;
+    case core::errc::reserved:
+        return reserved_reason;
     default:
         return "no_slot";
     }
