Bound the requests to cold endpoints within each second

Nothing used the cold time in the registrations, and the permits for limits allow each entry without connections a burst of its own part.

A cold endpoint now needs a permit for each request. Requests do not wait for a permit while another endpoint is free, and a request whose permit is lost before it is sent goes to another endpoint without using a retry. Only with the setting cold_start and a declared rate.

Ran tst_backpressure (29 tests), tst_directory (18), tst_dispatch (32), tst_settings (10), tst_gateway (28) and tst_proxy (102): all pass.

--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -96,6 +96,7 @@
         for (const objectstore::object& o : listing.objects) {
             const core::result<directory::endpoint_record> r = decode(o);
             if (r) {
+                context_.cold_times.on_registered(r.value(), o.version, core::runtime_clock::now());
                 records.push_back(r.value());
             }
         }
@@ -120,8 +121,12 @@
             o.deleted ? core::result<directory::endpoint_record>(
                             core::error{core::errc::not_found, "removed"})
                       : decode(o);
+        if (r) {
+            context_.cold_times.on_registered(r.value(), o.version, core::runtime_clock::now());
+        }
         const bool changed = r ? before == nullptr || !(*before == r.value()) : before != nullptr;
         if (!changed) {
+            context_.apply_cold_times();
             return;
         }
         if (r) {
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -26,6 +26,8 @@
     bool progressed = false;
     /// The connection ended before the answer was complete.
     bool connection_lost = false;
+    /// Nothing was sent, because the request needs a new permit.
+    bool permit_lost = false;
 };
 
 /// The attempt that would follow the running one.
@@ -142,6 +144,14 @@
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
     }
+    if (!context_.signals.may_send(slot.endpoint(), slot.started_at(),
+                                   core::runtime_clock::now())) {
+        core::counter_for("permits_expired_total").add();
+        outcome.reason = "permit_expired";
+        outcome.work = dispatch::work_outcome::abandoned;
+        outcome.permit_lost = true;
+        co_return outcome;
+    }
     if (deadline() - core::runtime_clock::now() < min_time_left) {
         outcome.reason = "out_of_time";
         outcome.work = dispatch::work_outcome::abandoned;
