Use learned capacity in the scheduler

Cause: the scheduler knew only the declared concurrency and the latencies of its own few requests. Change: learn_capacity makes gateways learn, tell peers their samples with the load report, weigh the choice by the learned slowdown and probe slow endpoints. Without the setting the choice is unchanged. Result: tst_capacity, tst_dispatch, tst_settings, tst_gateway and tst_proxy pass.

--- a/src/capacity/capacityconstants.h
+++ b/src/capacity/capacityconstants.h
@@ -12,8 +12,11 @@
 inline constexpr std::size_t max_samples = 96;
 inline constexpr std::size_t max_samples_of_peer = 16;
 /// Numbers of newest samples over which the median is taken. The small ones show a large slowdown
-/// soon, the large ones a small slowdown.
+/// soon, the large ones a small slowdown. With four samples, outliers gave two false reductions in
+/// an hour.
 inline constexpr std::array<std::size_t, 4> window_sizes{6, 12, 24, 48};
+/// Index of the window whose reference is the normal latency of the service.
+inline constexpr std::size_t normal_window = 1;
 /// Maximum fraction of a window that may come from one peer, once there are own_samples_to_trust
 /// own samples or at least min_independent_sources sources. Below one half, so that a peer with
 /// wrong samples cannot move the median beyond the samples of the others.
@@ -54,8 +57,9 @@
 /// which it rises by one request.
 inline constexpr std::chrono::milliseconds limit_hold_time{4000};
 inline constexpr std::chrono::milliseconds limit_rise_time{2000};
-/// Smallest window of samples at high loads. The ratio of a smaller one is too inexact for a limit.
+/// Number of samples at high loads that are compared with those at low loads.
 inline constexpr std::size_t min_saturation_window = 12;
+inline constexpr std::size_t max_saturation_window = 48;
 /// Requests above the load at which the latency begins to rise that are still allowed, as a factor.
 inline constexpr double saturation_headroom = 1.25;
 
--- a/src/capacity/endpointcapacities.cpp
+++ b/src/capacity/endpointcapacities.cpp
@@ -21,6 +21,11 @@
         std::chrono::duration<double, std::milli>(std::exp(log_latency)));
 }
 
+unsigned requests(double limit)
+{
+    return std::max(static_cast<unsigned>(std::lround(limit)), 1U);
+}
+
 /// Limit that rises when its last evidence is older than limit_hold_time.
 double risen(double limit, core::time_point evidence_at, core::time_point now)
 {
@@ -53,6 +58,7 @@
         }
         s.properties = e;
         s.concurrency = std::max(e.declared, 1U);
+        s.limit = s.concurrency;
     }
 }
 
@@ -67,18 +73,28 @@
 
 std::optional<double> endpoint_capacities::reference() const
 {
-    return references_[1] ? references_[1] : references_[0];
+    for (std::size_t i = normal_window + 1; i-- > 0;) {
+        if (references_[i]) {
+            return references_[i];
+        }
+    }
+    return std::nullopt;
 }
 
-void endpoint_capacities::on_finished(const started_request& request, unsigned load,
-                                      core::duration latency, request_end end, core::time_point now)
+void endpoint_capacities::on_finished(const started_request& request, core::duration latency,
+                                      request_end end, core::time_point now)
 {
     endpoint_state* const s = find(request.endpoint);
     if (s == nullptr || s->properties.incarnation != request.incarnation) {
         return;
     }
-    latency_sample sample{now, std::max({request.load, load, 1U}), failure_log_latency, {}};
-    if (end != request_end::failed) {
+    if (end == request_end::refused && !advance_together_) {
+        // It says only that all slots were in use, and a full service refuses at all endpoints.
+        return;
+    }
+    const bool failed = end == request_end::failed || end == request_end::refused;
+    latency_sample sample{now, std::max(request.load, 1U), failure_log_latency, {}};
+    if (!failed) {
         sample.log_latency = log_ms(latency);
     }
     if (end == request_end::unfinished) {
@@ -164,6 +180,21 @@
     return s == nullptr ? declared : std::min(s->concurrency, declared);
 }
 
+unsigned endpoint_capacities::limit_of(const core::endpoint_id& endpoint, unsigned declared,
+                                       core::time_point now)
+{
+    evaluate(now);
+    const endpoint_state* const s = find(endpoint);
+    return s == nullptr ? declared : std::min(s->limit, declared);
+}
+
+double endpoint_capacities::slowdown_of(const core::endpoint_id& endpoint, core::time_point now)
+{
+    evaluate(now);
+    const endpoint_state* const s = find(endpoint);
+    return s == nullptr ? 1 : s->slowness;
+}
+
 bool endpoint_capacities::any_reduced(core::time_point now)
 {
     evaluate(now);
@@ -285,6 +316,8 @@
 {
     const double declared = s.properties.declared;
     double limit = declared;
+    s.limit = s.properties.declared;
+    s.slowness = 1;
     if (s.slow) {
         const double reduced = std::max(declared / s.slow->ratio,
                                         advance_together_ ? declared * min_group_fraction : 1);
@@ -293,6 +326,7 @@
             s.slow.reset();
         }
         limit = std::min(limit, risen_limit);
+        s.slowness = declared / limit;
     }
     if (s.saturated) {
         const double risen_limit =
@@ -301,8 +335,9 @@
             s.saturated.reset();
         }
         limit = std::min(limit, risen_limit);
+        s.limit = std::min(s.limit, requests(risen_limit));
     }
-    const unsigned concurrency = std::max(static_cast<unsigned>(std::lround(limit)), 1U);
+    const unsigned concurrency = requests(limit);
     const unsigned before = std::exchange(s.concurrency, concurrency);
     if (before == concurrency) {
         return;
@@ -315,7 +350,9 @@
     change.declared = s.properties.declared;
     change.slowdown = s.slow ? s.slow->ratio : 1;
     change.saturation = s.saturated ? s.saturated->concurrency : 0;
-    change.latency = latency_of<std::chrono::milliseconds>(latest ? latest->log_latency : 0);
+    if (latest) {
+        change.latency = latency_of<std::chrono::milliseconds>(latest->log_latency);
+    }
     change.reference = latency_of<std::chrono::milliseconds>(reference().value_or(0));
     change.samples = s.samples.size();
     change.own_samples = s.samples.own_count();
--- a/src/capacity/endpointcapacities.h
+++ b/src/capacity/endpointcapacities.h
@@ -23,7 +23,8 @@
 /// End of a request, as far as it says something of the endpoint.
 enum class request_end {
     answered,   ///< with an answer, or the first event of a stream
-    failed,     ///< the endpoint failed or refused it
+    failed,     ///< the endpoint failed
+    refused,    ///< the endpoint did not run it
     unfinished, ///< it ended for another reason; its latency is a lower bound
 };
 
@@ -68,9 +69,10 @@
 
     /// Records the start of a request. The load includes it.
     started_request on_started(const core::endpoint_id& endpoint, unsigned load) const;
-    /// Records the end of a request. The load is that at its end.
-    void on_finished(const started_request& request, unsigned load, core::duration latency,
-                     request_end end, core::time_point now);
+    /// Records the end of a request. Its load is that at its start: a request that takes long meets
+    /// more others, so that the load at its end would seem to explain its latency.
+    void on_finished(const started_request& request, core::duration latency, request_end end,
+                     core::time_point now);
     /// Adds the samples of a peer.
     void on_peer_report(const core::host_id& peer, const std::vector<endpoint_samples>& report,
                         core::time_point now);
@@ -81,6 +83,12 @@
     /// declared number.
     unsigned concurrency_of(const core::endpoint_id& endpoint, unsigned declared,
                             core::time_point now);
+    /// Number of concurrent requests that the endpoint must not exceed: the declared number, or the
+    /// one that it handles well if it serves fewer requests in a second beyond that. A slow
+    /// endpoint is better than none.
+    unsigned limit_of(const core::endpoint_id& endpoint, unsigned declared, core::time_point now);
+    /// Factor by which the endpoint is slower than the others at the same load; one if it is not.
+    double slowdown_of(const core::endpoint_id& endpoint, core::time_point now);
     /// Whether any endpoint is reduced.
     bool any_reduced(core::time_point now);
     /// Decides whether a request goes to this endpoint in order to find out whether it is still
@@ -99,6 +107,8 @@
         core::time_point probed_at;
         bool last_sample_good = false;
         unsigned concurrency = 1;
+        unsigned limit = 1;
+        double slowness = 1;
     };
 
     endpoint_state* find(const core::endpoint_id& endpoint);
--- a/src/capacity/latencysamples.h
+++ b/src/capacity/latencysamples.h
@@ -49,6 +49,8 @@
     /// Median of the newest samples with a load in the range. Samples of one peer beyond its
     /// fraction of the window are passed over. Returns nullopt if there are fewer than the size.
     std::optional<window_median> newest(std::size_t size, load_range loads) const;
+    /// All samples, the oldest first.
+    const std::deque<latency_sample>& all() const { return samples_; }
     std::size_t size() const { return samples_.size(); }
     std::size_t own_count() const;
     /// The newest sample; nullptr if there is none.
--- a/src/capacity/slowdowntest.cpp
+++ b/src/capacity/slowdowntest.cpp
@@ -69,35 +69,82 @@
     return std::nullopt;
 }
 
+namespace {
+
+/// Compares the samples above a load with the samples next to them in time that are not above it.
+/// Samples of other times may be from before or after a slowdown at all loads. Returns a rise of
+/// the latency that exceeds that of the load: otherwise more requests at a time do not slow down
+/// the service as a whole, and a limit only moves the queue to the entries, whose knowledge of the
+/// load is older.
+std::optional<slowdown> compare_loads(const std::deque<latency_sample>& samples, unsigned split)
+{
+    std::vector<double> differences;
+    std::vector<double> references;
+    double load_sum = 0;
+    double low_load_sum = 0;
+    slowdown found;
+    const latency_sample* later = nullptr;
+    std::vector<const latency_sample*> unpaired;
+    for (auto it = samples.rbegin(); it != samples.rend(); ++it) {
+        if (it->load > split) {
+            if (later != nullptr) {
+                unpaired.push_back(&*it);
+            }
+            continue;
+        }
+        const double neighbours =
+            later == nullptr ? it->log_latency : (it->log_latency + later->log_latency) / 2;
+        for (const latency_sample* const high : unpaired) {
+            if (differences.size() == max_saturation_window) {
+                break;
+            }
+            if (differences.empty()) {
+                found.window.newest = high->at;
+            }
+            differences.push_back(high->log_latency - neighbours);
+            references.push_back(neighbours);
+            load_sum += high->load;
+            low_load_sum += it->load;
+        }
+        unpaired.clear();
+        later = &*it;
+    }
+    const std::size_t count = differences.size();
+    if (count < min_saturation_window) {
+        return std::nullopt;
+    }
+    std::sort(differences.begin(), differences.end());
+    std::sort(references.begin(), references.end());
+    const double difference = differences[(count - 1) / 2];
+    const double load_ratio = load_sum / low_load_sum;
+    if (difference <=
+        required_difference(std::max(tolerated_ratio, load_ratio), count, 2 * count)) {
+        return std::nullopt;
+    }
+    found.ratio = std::exp(difference);
+    found.reference_log_latency = references[(count - 1) / 2];
+    found.window.count = count;
+    found.window.log_latency = found.reference_log_latency + difference;
+    found.window.mean_load = load_sum / static_cast<double>(count);
+    return found;
+}
+
+} // namespace
+
 std::optional<saturation> find_saturation(const latency_samples& samples, unsigned declared)
 {
     std::optional<saturation> lowest;
     for (unsigned split = 1; split < declared; ++split) {
-        const window_medians high = medians_of(samples, load_range{split + 1, ~0U});
-        const window_medians low = medians_of(samples, load_range{0, split});
-        // The newest samples at low loads: older ones may be from before a slowdown at all loads.
-        const std::optional<window_median>& reference = low[1] ? low[1] : low[0];
-        if (!reference) {
+        const std::optional<slowdown> found = compare_loads(samples.all(), split);
+        if (!found) {
             continue;
         }
-        // The largest window that shows the rise is the most exact.
-        for (std::size_t i = high.size(); i-- > 0;) {
-            const std::optional<window_median>& m = high[i];
-            const double difference = m ? m->log_latency - reference->log_latency : 0;
-            if (window_sizes[i] < min_saturation_window ||
-                difference <=
-                    required_difference(tolerated_ratio, window_sizes[i], reference->count)) {
-                continue;
-            }
-            const double ratio = std::exp(difference);
-            // Beyond its saturation the latency of a server is proportional to its load. Loads up
-            // to the split have been seen with a good latency.
-            const double fitted =
-                std::max(m->mean_load / ratio, reference->mean_load) * saturation_headroom;
-            if (!lowest || fitted < lowest->concurrency) {
-                lowest = saturation{fitted, slowdown{ratio, *m, reference->log_latency}};
-            }
-            break;
+        // Beyond its saturation the latency of a server that keeps its throughput is proportional
+        // to its load.
+        const double throughput = found->window.mean_load / found->ratio;
+        const double fitted = std::max(throughput, 1.0) * saturation_headroom;
+        if (!lowest || fitted < lowest->concurrency) {
+            lowest = saturation{fitted, *found};
         }
     }
     return lowest;
--- a/src/capacity/slowdowntest.h
+++ b/src/capacity/slowdowntest.h
@@ -40,14 +40,14 @@
                                       const reference_latencies& references, double tolerated,
                                       std::size_t min_window);
 
-/// Number of requests from which an endpoint's latency rises with its load.
+/// Number of requests beyond which an endpoint serves fewer in a second.
 struct saturation {
     double concurrency = 0;
     slowdown evidence;
 };
 
-/// Compares the samples above each load with those at or below it. Returns the saturation with the
-/// lowest concurrency; nullopt if the latency does not rise with the load.
+/// Compares the samples above each load with those at or below it at about the same time. Returns
+/// the saturation with the lowest concurrency; nullopt if the latency does not rise with the load.
 std::optional<saturation> find_saturation(const latency_samples& samples, unsigned declared);
 
 } // namespace currantpitch::capacity
--- a/src/dispatch/dispatchmessages.h
+++ b/src/dispatch/dispatchmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity/capacitymessages.h"
 #include "core/identifiers.h"
 
 #include <cstdint>
@@ -29,11 +30,13 @@
     static constexpr std::uint8_t type = load_report_type;
     bool ready = false;
     std::vector<endpoint_load> loads;
+    /// Empty unless capacities are learned.
+    std::vector<capacity::endpoint_samples> samples;
 };
 template <class Archive>
 void describe(Archive& archive, load_report& m)
 {
-    archive(m.ready, m.loads);
+    archive(m.ready, m.loads, m.samples);
 }
 
 } // namespace currantpitch::dispatch
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -52,8 +52,11 @@
     for (const available_endpoint& e : endpoints) {
         endpoint_state& s = endpoints_[e.endpoint];
         s.properties = e;
+        s.slots = e.concurrency;
+        s.max_requests = e.concurrency;
         s.available = true;
     }
+    set_learned_endpoints(endpoints);
     std::erase_if(endpoints_, [](const std::pair<const core::endpoint_id, endpoint_state>& entry) {
         return !entry.second.available && entry.second.own_requests == 0;
     });
@@ -139,6 +142,7 @@
     if (s.properties.failure_domain != own_domain_) {
         score += other_domain_penalty;
     }
+    score *= s.slowdown;
     if (weigh_by_latency_ && s.latency_ms > 0) {
         const double half_lives = to_ms(now - s.latency_updated_at) / to_ms(latency_half_life);
         const double age_weight = std::exp2(-half_lives);
@@ -187,10 +191,11 @@
 } // namespace
 
 std::vector<scheduler::candidate> scheduler::candidates(const dispatch_request& request,
-                                                        bool include_requestable,
+                                                        bool include_requestable, bool beyond_slots,
                                                         core::time_point now)
 {
     using backpressure::admission;
+    update_slots(now);
     const bool ignore_ejections = too_many_ejected(now);
     // Permits are shared out among the entries already.
     const bool limited_only = fair_share_used(now);
@@ -209,7 +214,8 @@
                             a == admission::permitted ||
                             (a == admission::requestable && include_requestable);
         const unsigned load = s.own_requests + peer_load(entry.first);
-        if (usable && (load < s.properties.concurrency || load == 0)) {
+        const unsigned max_load = beyond_slots ? s.max_requests : s.slots;
+        if (usable && (load < max_load || load == 0)) {
             found.push_back({&s, load, a == admission::permitted});
             any_permitted = any_permitted || a == admission::permitted;
         }
@@ -240,16 +246,36 @@
 const scheduler::endpoint_state* scheduler::choose(const dispatch_request& request,
                                                    bool include_requestable, core::time_point now)
 {
-    std::vector<candidate> all = candidates(request, include_requestable, now);
+    std::vector<candidate> all = candidates(request, include_requestable, false, now);
+    if (all.empty() && learned_) {
+        all = candidates(request, include_requestable, true, now);
+    }
+    const bool uneven = learned_ && learned_->any_reduced(now);
+    if (uneven) {
+        const endpoint_state* const probed = probe(all, now);
+        if (probed != nullptr) {
+            return probed;
+        }
+    }
     // Sample the own failure domain first, then all remaining candidates.
     const auto other_domains = std::partition(all.begin(), all.end(), [this](const candidate& c) {
         return c.endpoint->properties.failure_domain == own_domain_;
     });
-    std::shuffle(all.begin(), other_domains, random_);
     const std::size_t own_domain_sampled =
         std::min(endpoint_sample_size, static_cast<std::size_t>(other_domains - all.begin()));
-    std::shuffle(all.begin() + static_cast<long>(own_domain_sampled), all.end(), random_);
-    all.resize(std::min(all.size(), own_domain_sampled + endpoint_sample_size));
+    std::size_t sample_size = own_domain_sampled + endpoint_sample_size;
+    if (uneven) {
+        // One sample alone could not be compared with a faster endpoint.
+        sample_size = std::max(sample_size, 2 * endpoint_sample_size);
+        sample_by_speed(all.begin(), other_domains, own_domain_sampled);
+        sample_by_speed(all.begin() + static_cast<long>(own_domain_sampled), all.end(),
+                        sample_size - own_domain_sampled);
+    }
+    else {
+        std::shuffle(all.begin(), other_domains, random_);
+        std::shuffle(all.begin() + static_cast<long>(own_domain_sampled), all.end(), random_);
+    }
+    all.resize(std::min(all.size(), sample_size));
 
     const endpoint_state* best = nullptr;
     double best_score = 0;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backpressure/endpointsignals.h"
+#include "capacity/endpointcapacities.h"
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
 #include "dispatch/loadreporttiming.h"
@@ -23,6 +24,8 @@
     core::endpoint_id endpoint;
     core::failure_domain_id failure_domain;
     unsigned concurrency = 1;
+    /// Zero when it is not reported.
+    core::incarnation incarnation{};
 };
 
 /// Properties of a request that determine when and where it runs.
@@ -69,7 +72,9 @@
     /// Replaces the set of endpoints that accept requests.
     void set_endpoints(const std::vector<available_endpoint>& endpoints);
     /// Sets whether the endpoints work independently, so that a slow one gets fewer requests.
-    void set_weigh_by_latency(bool weigh) { weigh_by_latency_ = weigh; }
+    void set_weigh_by_latency(bool weigh);
+    /// Uses the learned concurrency of each endpoint in place of the declared one from now on.
+    void learn_capacity(std::uint64_t seed);
     /// Sets the number of entry processes that share the endpoints, including this one.
     void set_process_count(std::size_t processes)
     {
@@ -117,6 +122,23 @@
     void finish(const core::endpoint_id& endpoint, work_outcome outcome,
                 core::duration service_time, core::time_point now);
 
+    /// Records the start of a request, for learning.
+    capacity::started_request begin_sample(const core::endpoint_id& endpoint, core::time_point now);
+    /// Records the end of a request that still counts as running. The latency is the time to its
+    /// answer or first event, or to its end if it got none.
+    void end_sample(const capacity::started_request& request, work_outcome outcome, bool responded,
+                    core::duration latency, core::time_point now);
+    /// Adds a peer's samples.
+    void on_peer_samples(const core::host_id& peer,
+                         const std::vector<capacity::endpoint_samples>& samples,
+                         core::time_point now);
+    /// Returns the samples to report to the peers, if a report of them is due.
+    std::vector<capacity::endpoint_samples> take_samples(core::time_point now);
+    /// Removes and returns the changes of learned concurrencies since the last call.
+    std::vector<capacity::capacity_change> take_capacity_changes(core::time_point now);
+    /// Number of concurrent requests by endpoint: the learned one, or the declared one.
+    std::map<core::endpoint_id, unsigned> slots() const;
+
     /// Number of this entry's running requests by endpoint.
     std::map<core::endpoint_id, unsigned> own_load() const;
     /// Number of waiting requests.
@@ -136,6 +158,12 @@
     struct endpoint_state {
         available_endpoint properties;
         bool available = false;
+        /// Learned concurrency; the declared one if none is learned.
+        unsigned slots = 1;
+        /// Requests that it may get once all endpoints run as many as they handle well.
+        unsigned max_requests = 1;
+        /// Factor by which it is slower than the others, as learned.
+        double slowdown = 1;
         unsigned own_requests = 0;
         unsigned consecutive_failures = 0;
         core::time_point ejected_until;
@@ -169,8 +197,18 @@
     backpressure::admission admission_of(const endpoint_state& s, core::time_point now) const;
     const endpoint_state* choose(const dispatch_request& request, bool include_requestable,
                                  core::time_point now);
+    /// Returns the endpoints with fewer requests than they handle well. If there are none and
+    /// beyond_slots is set, those with fewer than they accept.
     std::vector<candidate> candidates(const dispatch_request& request, bool include_requestable,
-                                      core::time_point now);
+                                      bool beyond_slots, core::time_point now);
+    void set_learned_endpoints(const std::vector<available_endpoint>& endpoints);
+    void update_slots(core::time_point now);
+    /// Returns the candidate that this request should probe; nullptr if there is none.
+    const endpoint_state* probe(const std::vector<candidate>& candidates, core::time_point now);
+    /// Moves randomly chosen candidates to the front, each with a probability in inverse
+    /// proportion to its slowdown.
+    void sample_by_speed(std::vector<candidate>::iterator first,
+                         std::vector<candidate>::iterator last, std::size_t size);
     /// Requests permits for the waiting requests, at most one for each.
     void request_permits(core::time_point now);
     /// Whether most slots are in use and this entry uses its fair share of them.
@@ -190,6 +228,7 @@
     std::mt19937_64 random_;
     double limit_ = 1e9;
     std::map<core::endpoint_id, endpoint_state> endpoints_;
+    std::optional<capacity::endpoint_capacities> learned_;
     std::map<core::host_id, peer_state> peers_;
     /// Sum of the peers' load reports by endpoint.
     std::unordered_map<core::endpoint_id, unsigned> peer_totals_;
--- a/src/dispatch/schedulerlimits.cpp
+++ b/src/dispatch/schedulerlimits.cpp
@@ -28,7 +28,7 @@
         return 0;
     }
     return limited(s) ? s.own_requests + peer_load(s.properties.endpoint)
-                      : std::min(limit_, static_cast<double>(s.properties.concurrency));
+                      : std::min(limit_, static_cast<double>(s.max_requests));
 }
 
 backpressure::admission scheduler::admission_of(const endpoint_state& s, core::time_point now) const
--- a/src/dispatch/workqueue.cpp
+++ b/src/dispatch/workqueue.cpp
@@ -22,6 +22,8 @@
         return;
     }
     const core::time_point now = core::runtime_clock::now();
+    queue_->slot_scheduler_.end_sample(sample_, outcome_, responded_at_.has_value(),
+                                       responded_at_.value_or(now) - started_at_, now);
     queue_->slot_scheduler_.finish(endpoint_, outcome_, now - started_at_, now);
     queue_->process_waiting();
 }
--- a/src/dispatch/workqueue.h
+++ b/src/dispatch/workqueue.h
@@ -27,12 +27,14 @@
     public:
         slot(work_queue& queue, core::endpoint_id endpoint)
             : queue_(&queue), endpoint_(std::move(endpoint)),
-              started_at_(core::runtime_clock::now())
+              started_at_(core::runtime_clock::now()),
+              sample_(queue.slot_scheduler_.begin_sample(endpoint_, started_at_))
         {
         }
         slot(slot&& other) noexcept
             : queue_(std::exchange(other.queue_, nullptr)), endpoint_(std::move(other.endpoint_)),
-              started_at_(other.started_at_), outcome_(other.outcome_)
+              started_at_(other.started_at_), sample_(std::move(other.sample_)),
+              responded_at_(other.responded_at_), outcome_(other.outcome_)
         {
         }
         slot& operator=(slot&&) = delete;
@@ -41,11 +43,15 @@
         const core::endpoint_id& endpoint() const { return endpoint_; }
         core::time_point started_at() const { return started_at_; }
         void set_outcome(work_outcome o) { outcome_ = o; }
+        /// Records the time of the answer, or of the first event of a stream.
+        void set_responded(core::time_point now) { responded_at_ = responded_at_.value_or(now); }
 
     private:
         work_queue* queue_;
         core::endpoint_id endpoint_;
         core::time_point started_at_;
+        capacity::started_request sample_;
+        std::optional<core::time_point> responded_at_;
         work_outcome outcome_ = work_outcome::abandoned;
     };
 
--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -41,6 +41,8 @@
 inline constexpr std::chrono::seconds host_reregistration_period{15};
 /// Interval at which an entry checks whether its registration exists.
 inline constexpr std::chrono::seconds registration_check_interval{2};
+/// Maximum number of endpoints whose learned concurrency is exported as a gauge.
+inline constexpr std::size_t max_capacity_gauges = 128;
 /// Lifetime of an address answer. Some callers keep an answer for three lifetimes, so a short
 /// lifetime lets all callers leave a stopping entry soon.
 inline constexpr std::chrono::seconds address_lifetime{1};
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/capacityexchange.h"
 #include "gateway/configurationexchange.h"
 #include "gateway/evidenceexchange.h"
 #include "gateway/feedsinks.h"
@@ -86,6 +87,7 @@
     address_handler address_handler_{*this};
     readiness_handler readiness_handler_{*this};
     metrics_handler metrics_handler_;
+    capacity_gauges capacity_gauges_;
     core::asio::ip::tcp::acceptor caller_listener_;
     core::asio::ip::tcp::acceptor directory_listener_;
     core::asio::ip::tcp::acceptor readiness_listener_;
@@ -101,6 +103,7 @@
     proxy::proxy_bounds b;
     b.max_configuration_age = s.revocation_time - configuration_age_margin;
     b.retries = {s.retry_ratio, s.retry_slack, s.retry_window};
+    b.learn_capacity = s.learn_capacity;
     return b;
 }
 
@@ -281,6 +284,7 @@
     for (const std::pair<const core::service_id, std::unique_ptr<proxy::service_state>>& entry :
          context_.services) {
         entry.second->queue.slot_scheduler().on_peer_load(peer, loads, now);
+        entry.second->queue.slot_scheduler().on_peer_samples(peer, report.value().samples, now);
         entry.second->queue.process_waiting();
     }
 }
@@ -309,10 +313,13 @@
         const dispatch::load_report_timing timing =
             dispatch::timing_for(roster_.registered_count());
         const core::time_point now = core::runtime_clock::now();
-        std::string payload = wire::encode(own_report());
-        if (payload != last_payload || now - sent_at >= timing.refresh_interval) {
+        dispatch::load_report report = own_report();
+        std::string payload = wire::encode(report);
+        report.samples = take_capacity_samples(context_, now);
+        const bool changed = payload != last_payload || !report.samples.empty();
+        if (changed || now - sent_at >= timing.refresh_interval) {
             sent_at = now;
-            hub_->send_to_all(payload);
+            hub_->send_to_all(report.samples.empty() ? payload : wire::encode(report));
             last_payload = std::move(payload);
         }
         co_await core::sleep_for(timing.interval);
@@ -340,6 +347,7 @@
             s.queue.process_waiting();
             s.guard.expire(now);
         }
+        capacity_gauges_.update(context_, now);
         context_.requests.update(now);
         core::gauge_for("requests_in_flight").set(static_cast<double>(context_.in_flight));
         core::gauge_for("idle_connections").set(static_cast<double>(context_.connections.size()));
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -55,7 +55,7 @@
     {
     }
 
-    core::task<attempt_outcome> run(const dispatch::work_queue::slot& slot);
+    core::task<attempt_outcome> run(dispatch::work_queue::slot& slot);
 
 private:
     bool stream() const { return routes::is_stream(routed_.route->retry); }
@@ -113,14 +113,16 @@
     next_attempt next_;
     core::time_point last_activity_;
     core::time_point sent_at_;
+    dispatch::work_queue::slot* slot_ = nullptr;
     bool head_received_ = false;
     bool progressed_ = false;
 };
 
 template <proxy_dialect Dialect>
-core::task<attempt_outcome> endpoint_attempt<Dialect>::run(const dispatch::work_queue::slot& slot)
+core::task<attempt_outcome> endpoint_attempt<Dialect>::run(dispatch::work_queue::slot& slot)
 {
     using namespace core::asio::experimental::awaitable_operators;
+    slot_ = &slot;
     attempt_outcome outcome;
     const directory::endpoint_record* const found = context_.endpoints.find(slot.endpoint());
     if (found == nullptr || found->draining) {
@@ -422,6 +424,7 @@
 {
     if (!progressed_) {
         progressed_ = true;
+        slot_->set_responded(core::runtime_clock::now());
         suspicion_.on_progress();
     }
 }
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -16,6 +16,9 @@
         state->retries.set_process_count(process_count);
         state->queue.slot_scheduler().set_process_count(process_count);
         state->queue.slot_scheduler().set_signals(signals);
+        if (bounds.learn_capacity) {
+            state->queue.slot_scheduler().learn_capacity(random());
+        }
         apply_profile(name, *state);
     }
     return *state;
@@ -49,7 +52,7 @@
         signals.on_registered(record.endpoint, record.incarnation);
         if (endpoints.usable(record.endpoint)) {
             by_service[record.service].push_back(
-                {record.endpoint, record.failure_domain, record.concurrency});
+                {record.endpoint, record.failure_domain, record.concurrency, record.incarnation});
         }
     }
     signals.retain(registered, core::runtime_clock::now());
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -44,6 +44,8 @@
     /// Age of the configuration beyond which API keys are no longer accepted.
     std::chrono::milliseconds max_configuration_age{4500};
     admission::retry_allowance retries;
+    /// Whether the concurrency of the endpoints is learned.
+    bool learn_capacity = false;
 };
 
 /// State that all requests of one entry share.
--- a/src/settings/internal/yamlreader.cpp
+++ b/src/settings/internal/yamlreader.cpp
@@ -156,6 +156,19 @@
     return number;
 }
 
+bool yaml_reader::optional_flag(const std::string& field, bool default_value)
+{
+    const std::optional<std::string> text = scalar(field, false);
+    if (!text) {
+        return default_value;
+    }
+    if (*text != "true" && *text != "false") {
+        report(child(field), field, "must be true or false");
+        return default_value;
+    }
+    return *text == "true";
+}
+
 std::size_t yaml_reader::required_choice(const std::string& field,
                                          const std::vector<std::string>& choices)
 {
--- a/src/settings/internal/yamlreader.h
+++ b/src/settings/internal/yamlreader.h
@@ -26,6 +26,7 @@
                              unsigned max_value);
     double optional_real(const std::string& field, double default_value, double min_value,
                          double max_value);
+    bool optional_flag(const std::string& field, bool default_value);
     /// Reads a text that must be one of the choices. Returns its index, or 0 after reporting a
     /// finding.
     std::size_t required_choice(const std::string& field, const std::vector<std::string>& choices);
--- a/src/settings/nodesettings.cpp
+++ b/src/settings/nodesettings.cpp
@@ -16,6 +16,7 @@
     s.readiness_address = listen.required_address("readiness");
     s.revocation_time = root.optional_duration("revocation_time", s.revocation_time,
                                                min_revocation_time, max_stop_timeout);
+    s.learn_capacity = root.optional_flag("learn_capacity", s.learn_capacity);
     yaml_reader retries = root.required_section("retries");
     s.retry_ratio = retries.optional_real("ratio", s.retry_ratio, 0, max_retry_ratio);
     s.retry_slack = retries.optional_real("slack", s.retry_slack, 0, max_retry_slack);
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -37,6 +37,9 @@
     double retry_ratio = 0.1;
     double retry_slack = 0;
     std::chrono::milliseconds retry_window{10000};
+    /// Gateways only: whether the concurrency that an endpoint handles well is learned. Otherwise
+    /// the declared one is used.
+    bool learn_capacity = false;
 
     /// Rank agents only: address of the engine on this host and the service that it belongs to.
     address engine_address;
--- a/src/settings/tests/tst_nodesettings.cpp
+++ b/src/settings/tests/tst_nodesettings.cpp
@@ -45,6 +45,16 @@
     CHECK(report.settings->revocation_time == 5s);
 }
 
+// Guards against learning that is on without being asked for, or by a misspelt value.
+TEST(node_settings_file, capacity_is_learned_only_on_request)
+{
+    const std::string text(gateway_text);
+    CHECK(!settings::read_node_settings(text, "g.yaml").settings->learn_capacity);
+    CHECK(settings::read_node_settings(text + "learn_capacity: true\n", "g.yaml")
+              .settings->learn_capacity);
+    CHECK(!settings::read_node_settings(text + "learn_capacity: on\n", "g.yaml").settings);
+}
+
 TEST(node_settings_file, agent_settings_are_read)
 {
     const settings::node_settings_report report =
