--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds slow_store_delay{400};
 constexpr std::chrono::milliseconds late_order_delay{1200};
 constexpr unsigned slow_endpoint_factor = 8;
+/// The same for endpoints that are slow and fast by turns, and the time of a turn.
+constexpr unsigned uneven_endpoint_factor = 6;
+constexpr std::chrono::milliseconds uneven_turn{5000};
+constexpr std::size_t uneven_groups = 3;
 /// Time for which the store is away before it comes back from a copy, and after which the lost
 /// objects are written again.
 constexpr std::chrono::milliseconds store_away_time{700};
@@ -281,6 +285,23 @@
     faults = kept;
 }
 
+core::task<void> fault_injector::vary_endpoint_speeds(std::chrono::milliseconds length)
+{
+    const core::time_point end = core::runtime_clock::now() + length;
+    std::vector<soak_site::endpoint>& endpoints = site_.plain_endpoints();
+    for (std::size_t turn = 0; core::runtime_clock::now() < end; ++turn) {
+        for (std::size_t i = 0; i < endpoints.size(); ++i) {
+            const bool slow = i % uneven_groups == turn % uneven_groups;
+            endpoints[i].server->faults.slowness = slow ? uneven_endpoint_factor : 1;
+        }
+        co_await core::sleep_for(
+            std::min<core::duration>(uneven_turn, end - core::runtime_clock::now()));
+    }
+    for (soak_site::endpoint& e : endpoints) {
+        e.server->faults.slowness = 1;
+    }
+}
+
 core::task<void> fault_injector::limit_endpoint(planned_fault f)
 {
     soak_site::endpoint& e = pick_endpoint(f.target);
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -12,6 +12,9 @@
 
     /// Starts each fault at its time, counted from now. Returns once all have ended.
     core::task<void> run(std::vector<planned_fault> script);
+    /// Makes one third of the plain endpoints slow after the other, until the time is over. This is
+    /// no disturbance: all guarantees apply.
+    core::task<void> vary_endpoint_speeds(std::chrono::milliseconds length);
     const std::vector<std::string>& findings() const { return findings_; }
     /// Highest memory use of a gateway after an endpoint has sent bytes without end.
     std::size_t peak_gateway_memory_bytes() const { return peak_gateway_memory_; }
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -32,6 +32,9 @@
     co_await core::sleep_for(startup_time);
     site.start_callers();
     fault_injector injector(site);
+    if (options.site.uneven_endpoints) {
+        core::spawn(context.get_executor(), injector.vary_endpoint_speeds(options.faults));
+    }
     co_await injector.run(make_fault_script(options.site.seed, options.faults));
     site.environment().crashing_part.clear();
     site.environment().crashing_target_end.clear();
@@ -118,6 +121,8 @@
                  "Let a part of some prompts crash the ranks that begin to answer it");
     app.add_flag("--crashing-request", options.site.crashing_request,
                  "Let one request on each route crash the endpoints that run it");
+    app.add_flag("--uneven-endpoints", options.site.uneven_endpoints,
+                 "Let plain endpoints be slow and fast by turns");
     app.add_flag("--list", options.list, "Only print the faults of the seed");
     app.footer(
         "Exit codes: 0 if every guarantee held, 1 if one was violated; the findings name it.");
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -148,7 +148,8 @@
         "\", readiness: \"" + address_text(ip, readiness_port) + "\", peers: \"" +
         address_text(ip, peer_port) + "\", metrics: \"" + address_text(ip, metrics_port) +
         "\"}\nrevocation_time: 5000ms\nretries: {ratio: 0.2, slack: " +
-        std::to_string(guarantee_limits{}.retry_slack) + ", window: 10s}\n";
+        std::to_string(guarantee_limits{}.retry_slack) + ", window: 10s}\n" +
+        (options_.uneven_endpoints ? "learn_capacity: true\n" : "");
     node n = make_node(name, settings, i);
     const asio::ip::tcp::endpoint link = tcp_endpoint(loopback_ip(caller_block, i), proxy_port);
     n.caller_link = std::make_unique<fault_proxy>(executor_, link, tcp_endpoint(ip, caller_port));
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -29,6 +29,8 @@
     bool crashing_part = false;
     /// Whether one request on each route crashes the endpoints that run it.
     bool crashing_request = false;
+    /// Whether plain endpoints are slow and fast by turns, and the gateways learn their capacity.
+    bool uneven_endpoints = false;
 };
 
 /// A complete site on loopback: the processes under test and, within this process, the store, the
