--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -50,6 +50,8 @@
     admission::retry_allowance retries;
     /// Bound on the requests to cold endpoints. Without it, they are treated like the others.
     std::optional<backpressure::cold_bounds> cold_start{};
+    /// Whether the concurrency of the endpoints is learned.
+    bool learn_capacity = false;
 };
 
 /// State that all requests of one entry share.
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -49,6 +49,9 @@
     /// gateways together, as a multiple of the rate that its service declares and a number of
     /// requests in addition. Without it, cold endpoints are treated like the others.
     std::optional<cold_start_settings> cold_start;
+    /// Gateways only: whether the concurrency that an endpoint handles well is learned. Otherwise
+    /// the declared one is used.
+    bool learn_capacity = false;
 
     /// Rank agents only: address of the engine on this host and the service that it belongs to.
     address engine_address;
