Reach the engine of a rank directly while its agent is silent

A frozen agent blocked every switch, each withdrawal and the settling of a successor: the group stood still at a held step for 4.5 s in the trace, as states and orders go through the agents only.

The leader now calls the engine itself when the agent has sent no status for 400 ms within a switch or while it settles, with one task for each engine. An agent that wakes, or an earlier leader on its host, may still order that engine under an earlier term.

The model of switches has agents that freeze and wake with pending attempts, and leaders that call engines directly, also where the agent runs.

--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -2,6 +2,7 @@
 
 #include "core/counters.h"
 #include "expertmaps/fenceclaim.h"
+#include "rankcontrol/directreach.h"
 #include "rankcontrol/groupleader.h"
 #include "rankcontrol/memberside.h"
 
@@ -14,7 +15,8 @@
 public:
     candidate_side(agent_context& context, Store& store, engine_monitor<Port>& engine,
                    member_side<Port>& member, std::uint64_t nonce)
-        : context_(context), store_(store), engine_(engine), member_(member), nonce_(nonce)
+        : context_(context), store_(store), engine_(engine), member_(member), nonce_(nonce),
+          direct_(context, *this)
     {
     }
 
@@ -24,10 +26,23 @@
     core::task<void> run();
     bool is_leading() const { return leader_ != nullptr; }
 
+    bool lacks_experts(const rank_state& state) const;
+    bool on_direct_state(const rank_state& state, std::vector<std::vector<expert>> held);
+    void on_direct_answer(const addressed_order& order, const executed_order& executed);
+    bool switch_under_way() const
+    {
+        return leader_ && leader_->progress().phase() != switch_phase::idle;
+    }
+
 private:
     struct session {
         std::shared_ptr<wire::framed_connection> connection;
         core::host_id member;
+        /// Address of the member's host; unspecified if the member did not name it.
+        boost::asio::ip::address address;
+        /// When the last status arrived, and when the first one came after a silence.
+        core::time_point status_at;
+        core::time_point returned_at;
         std::optional<std::uint32_t> rank;
         /// Reason why the last status was refused; empty if it was not.
         std::string_view last_finding;
@@ -38,6 +53,10 @@
     };
 
     core::task<void> read(std::shared_ptr<session> s);
+    /// Whether the statuses of the session are used; not while its engine is reached directly.
+    bool is_in_use(session& s, const rank_status& status, core::time_point now);
+    /// Reaches the engines whose agents are silent while a switch is under way.
+    void reach_silent_ranks(core::time_point now);
     core::task<void> send_claims(std::shared_ptr<session> s);
     /// Whether the status fits the group as the other members describe it. Ends the session of a
     /// member of another group.
@@ -64,6 +83,8 @@
     core::group_id group_;
     /// Highest term that a member of the group has obeyed or has a layout of.
     term highest_term_;
+    core::time_point leading_since_;
+    direct_reach<Port, candidate_side> direct_;
 };
 
 template <class Store, rank_port Port>
@@ -89,13 +110,15 @@
     const std::shared_ptr<session> s = std::make_shared<session>();
     s->connection = connection;
     s->member = hello.value().host;
+    boost::system::error_code not_an_address;
+    s->address = boost::asio::ip::make_address(hello.value().address, not_an_address);
     sessions_.push_back(s);
     co_await (read(s) || connection->write_loop() || send_claims(s) ||
               context_.group_changed.wait());
     connection->close();
     std::erase(sessions_, s);
     core::log_event("member_down").field("member", hello.value().host);
-    if (leader_ && s->rank) {
+    if (leader_ && s->rank && !direct_.reaches(*s->rank)) {
         leader_->on_disconnected(*s->rank);
     }
 }
@@ -113,13 +136,14 @@
         const core::result<rank_status> status = wire::decode<rank_status>(frame.value());
         const core::result<rank_answer> answer = status ? core::result<rank_answer>(core::error{})
                                                         : wire::decode<rank_answer>(frame.value());
-        if (status && accepts(*s, status.value()) && leader_) {
+        if (status && accepts(*s, status.value()) && is_in_use(*s, status.value(), now)) {
             leader_->on_status(status.value(), now);
         }
         if (answer) {
             on_layout_answer(*s, answer.value());
         }
-        if (answer && accepts(*s, answer.value().status) && leader_) {
+        if (answer && accepts(*s, answer.value().status) &&
+            is_in_use(*s, answer.value().status, now)) {
             leader_->on_answer(*s->rank, answer.value(), now);
         }
         // While no switch is under way, the periodic tick is enough.
@@ -158,7 +182,7 @@
         highest_term_ = std::max({highest_term_, status.promised, newest_term(state)});
         return true;
     }
-    if (s.rank && leader_) {
+    if (s.rank && leader_ && !direct_.reaches(*s.rank)) {
         leader_->on_disconnected(*s.rank);
     }
     s.rank.reset();
@@ -251,6 +275,7 @@
         .field("group", group_)
         .field("term", leader_->own_term())
         .field("reason", reason);
+    direct_.end_all("leadership_ends");
     leader_.reset();
 }
 
@@ -293,6 +318,7 @@
     context_.leader = context_.settings.peer_address;
     leader_ = std::make_unique<group_leader>(own, context_.own_group(), shape, costs,
                                              context_.target_gap);
+    leading_since_ = core::runtime_clock::now();
     core::counter_for("group_leaderships_total").add();
     for (const std::shared_ptr<session>& s : sessions_) {
         s->connection->send(wire::encode(leader_claim{context_.group, own}));
@@ -306,6 +332,18 @@
     if (engine_.state() && context_.promised == leader_->own_term()) {
         leader_->on_status(engine_.status_for_leader(true), now);
     }
+    const std::optional<std::pair<group_epoch, core::map_version>> unknown =
+        leader_->unknown_layout();
+    // Members have had the orders for the layouts of earlier terms. The layout that a group starts
+    // with was not ordered.
+    if (unknown && unknown->second.value > 0) {
+        const std::shared_ptr<const layout> known =
+            context_.layouts.find(unknown->second, leader_->shape());
+        if (known != nullptr) {
+            leader_->set_known_layout(*unknown, *known);
+        }
+    }
+    reach_silent_ranks(now);
     send(leader_->tick(now));
 }
 
@@ -321,13 +359,18 @@
                                   execute_locally(o, {context_.group, o.id}));
             continue;
         }
+        if (o.order.kind == order_kind::load) {
+            context_.layouts.add(o.order.version, o.order.experts);
+        }
+        if (direct_.take(o)) {
+            continue;
+        }
         for (const std::shared_ptr<session>& s : sessions_) {
             if (s->rank != o.rank) {
                 continue;
             }
             rank_order message{o.id, context_.group, {}, {}, {}, 0};
             if (o.order.kind == order_kind::load) {
-                context_.layouts.add(o.order.version, o.order.experts);
                 message.base = base_for(*s);
                 const std::shared_ptr<const layout> base =
                     message.base ? context_.layouts.find(*message.base, leader_->shape()) : nullptr;
@@ -391,3 +434,5 @@
 }
 
 } // namespace currantpitch::rankcontrol
+
+#include "rankcontrol/candidatedirect.h"
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -55,6 +55,72 @@
     update_layout();
 }
 
+bool group_leader::is_deposed_by(const rank_state& state)
+{
+    deposed_ = deposed_ || newest_term(state) > own_term_;
+    return deposed_;
+}
+
+void group_leader::on_direct_state(const rank_state& state,
+                                   std::vector<std::vector<expert>> held_experts,
+                                   core::time_point now)
+{
+    if (is_deposed_by(state)) {
+        return;
+    }
+    if (!held_experts.empty()) {
+        held_lists_[state.rank] = {state.epoch, state.active, std::move(held_experts)};
+    }
+    const switch_phase before = switch_.phase();
+    switch_.on_state(state, now);
+    update_layout();
+    log_phase(before);
+}
+
+void group_leader::on_direct_answer(const addressed_order& order,
+                                    std::optional<order_result> result, const rank_state& state,
+                                    core::time_point now)
+{
+    if (is_deposed_by(state)) {
+        return;
+    }
+    const switch_phase before = switch_.phase();
+    switch_.on_answer(order.rank, order.id, result, state, now);
+    log_phase(before);
+    update_layout();
+}
+
+void group_leader::set_direct(std::uint32_t rank, bool direct)
+{
+    switch_.set_direct(rank, direct);
+}
+
+bool group_leader::lacks_experts(const rank_state& state) const
+{
+    const std::pair<group_epoch, core::map_version> id{state.epoch, state.active};
+    if ((current_layout_ && current_layout_id_ == id) || term_of(state.active) == own_term_) {
+        return false;
+    }
+    const auto list = held_lists_.find(state.rank);
+    return list == held_lists_.end() || list->second.epoch != state.epoch ||
+           list->second.version != state.active;
+}
+
+std::optional<std::pair<group_epoch, core::map_version>> group_leader::unknown_layout() const
+{
+    const std::optional<std::pair<group_epoch, core::map_version>> observed =
+        switch_.observed_layout_id();
+    const bool known = current_layout_ && current_layout_id_ == observed;
+    return known ? std::nullopt : observed;
+}
+
+void group_leader::set_known_layout(std::pair<group_epoch, core::map_version> id, layout known)
+{
+    switch_.set_current_layout(id.first, id.second, known);
+    current_layout_ = std::move(known);
+    current_layout_id_ = id;
+}
+
 void group_leader::on_disconnected(std::uint32_t rank)
 {
     switch_.on_disconnected(rank);
@@ -79,7 +145,14 @@
 {
     const std::optional<std::pair<group_epoch, core::map_version>> observed =
         switch_.observed_layout_id();
-    if (!observed || (current_layout_ && current_layout_id_ == observed)) {
+    if (!observed) {
+        return;
+    }
+    if (current_layout_ && current_layout_id_ == observed) {
+        // A switch that had been released is withdrawn: its layout does not become active.
+        if (switch_.phase() == switch_phase::settling && switch_.current_layout_id() != observed) {
+            switch_.set_current_layout(observed->first, observed->second, *current_layout_);
+        }
         return;
     }
     if (proposed_layout_ && observed->first == current_layout_id_.first &&
--- a/src/rankcontrol/groupleader.h
+++ b/src/rankcontrol/groupleader.h
@@ -36,6 +36,22 @@
     void on_status(const rank_status& status, core::time_point now);
     void on_answer(std::uint32_t rank, const rank_answer& answer, core::time_point now);
     void on_disconnected(std::uint32_t rank);
+    /// Takes a state that the leader read from the engine itself, and its list of held experts;
+    /// the list is empty if it was not read.
+    void on_direct_state(const rank_state& state, std::vector<std::vector<expert>> held_experts,
+                         core::time_point now);
+    /// Takes the result of an order that the leader sent to the engine itself.
+    void on_direct_answer(const addressed_order& order, std::optional<order_result> result,
+                          const rank_state& state, core::time_point now);
+    /// Sets whether the rank is reached directly, as its agent is silent.
+    void set_direct(std::uint32_t rank, bool direct);
+    /// Whether the layout of that state is unknown and its list of held experts is missing.
+    bool lacks_experts(const rank_state& state) const;
+    /// Epoch and version of the layout that the group runs and that is unknown; empty if it is
+    /// known.
+    std::optional<std::pair<group_epoch, core::map_version>> unknown_layout() const;
+    /// Takes the layout of the version that the group runs, as it was ordered.
+    void set_known_layout(std::pair<group_epoch, core::map_version> id, layout known);
     /// Called periodically. Plans when the interval is over, and returns the orders to send now.
     std::vector<addressed_order> tick(core::time_point now);
 
@@ -51,6 +67,7 @@
 private:
     void record_held_experts(const rank_status& status);
     void update_layout();
+    bool is_deposed_by(const rank_state& state);
     bool can_plan() const;
     /// Begins a plan when one is due.
     void begin_plan();
--- a/src/rankcontrol/groupmembers.cpp
+++ b/src/rankcontrol/groupmembers.cpp
@@ -9,7 +9,7 @@
     endpoints_.clear();
     for (const directory::endpoint_record& r : records) {
         if (r.service == service_) {
-            endpoints_[r.endpoint] = r.address.address();
+            endpoints_[r.endpoint] = r.address;
         }
     }
     update();
@@ -18,7 +18,7 @@
 void group_members::apply(const directory::endpoint_record& record)
 {
     if (record.service == service_) {
-        endpoints_[record.endpoint] = record.address.address();
+        endpoints_[record.endpoint] = record.address;
         update();
     }
 }
@@ -41,12 +41,29 @@
     update();
 }
 
+bool group_members::may_be_member(const boost::asio::ip::address& host) const
+{
+    const auto registered = groups_.find(host);
+    return registered == groups_.end() || registered->second == own_group_;
+}
+
+std::vector<boost::asio::ip::tcp::endpoint> group_members::engines() const
+{
+    std::vector<boost::asio::ip::tcp::endpoint> addresses;
+    for (const auto& [endpoint, address] : endpoints_) {
+        if (may_be_member(address.address())) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 void group_members::update()
 {
     // A host may be listed twice while its engine restarts.
     hosts_.clear();
-    for (const std::pair<const core::endpoint_id, boost::asio::ip::address>& entry : endpoints_) {
-        hosts_.insert(entry.second);
+    for (const auto& [endpoint, address] : endpoints_) {
+        hosts_.insert(address.address());
     }
     candidates_.clear();
     if (own_group_.empty()) {
@@ -56,8 +73,7 @@
         if (candidates_.size() == leader_candidates) {
             return;
         }
-        const auto registered = groups_.find(host);
-        if (registered == groups_.end() || registered->second == own_group_) {
+        if (may_be_member(host)) {
             candidates_.emplace_back(host, peer_port_);
         }
     }
--- a/src/rankcontrol/groupmembers.h
+++ b/src/rankcontrol/groupmembers.h
@@ -32,15 +32,19 @@
 
     /// Addresses of the agents that may lead the own group, in order of preference.
     const std::vector<boost::asio::ip::tcp::endpoint>& candidates() const { return candidates_; }
+    /// Addresses of the engines that may belong to the own group.
+    std::vector<boost::asio::ip::tcp::endpoint> engines() const;
     /// Number of hosts with an endpoint of the service.
     std::size_t host_count() const { return hosts_.size(); }
 
 private:
     void update();
+    /// Whether the host is registered in the own group or in none.
+    bool may_be_member(const boost::asio::ip::address& host) const;
 
     core::service_id service_;
     std::uint16_t peer_port_;
-    std::map<core::endpoint_id, boost::asio::ip::address> endpoints_;
+    std::map<core::endpoint_id, boost::asio::ip::tcp::endpoint> endpoints_;
     std::map<boost::asio::ip::address, core::group_id> groups_;
     core::group_id own_group_;
     std::set<boost::asio::ip::address> hosts_;
--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -13,6 +13,8 @@
         return "settling";
     case switch_phase::securing:
         return "securing";
+    case switch_phase::fencing:
+        return "fencing";
     case switch_phase::idle:
         return "idle";
     case switch_phase::loading:
@@ -134,12 +136,15 @@
     if (state.rank >= ranks_.size()) {
         return;
     }
-    ranks_[state.rank].state = state;
+    rank_view& view = ranks_[state.rank];
+    view.state = state;
+    view.agent_obeys = view.agent_obeys || !view.direct;
     if (epoch_ && state.epoch.value > epoch_->value) {
         // The group was rebuilt, so nothing is armed, held or loaded any more.
         epoch_.reset();
         last_held_step_ = core::step_number{};
         running_version_ = core::map_version{};
+        fenced_ = false;
         for (rank_view& v : ranks_) {
             v.outstanding.reset();
         }
@@ -178,10 +183,45 @@
     }
 }
 
+void layout_switch::set_direct(std::uint32_t rank, bool direct)
+{
+    if (rank < ranks_.size() && ranks_[rank].direct != direct) {
+        ranks_[rank].direct = direct;
+        ranks_[rank].outstanding.reset();
+    }
+}
+
+bool layout_switch::any_direct() const
+{
+    return std::any_of(ranks_.begin(), ranks_.end(), [](const rank_view& v) { return v.direct; });
+}
+
+bool layout_switch::own_hold(std::uint32_t rank) const
+{
+    return rank == holder_ && ranks_[rank].state->held_step == step_;
+}
+
+bool layout_switch::held_by_others() const
+{
+    for (std::uint32_t rank = 0; rank < ranks_.size(); ++rank) {
+        const rank_view& v = ranks_[rank];
+        if (v.direct && v.state->held_step && !own_hold(rank)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool layout_switch::fence_needed() const
+{
+    return !fenced_ && !std::all_of(ranks_.begin(), ranks_.end(),
+                                    [](const rank_view& v) { return v.agent_obeys; });
+}
+
 bool layout_switch::can_propose() const
 {
     return phase_ == switch_phase::idle && group_running() && same_epoch() && !any_armed() &&
-           !any_held();
+           !any_held() && !any_direct();
 }
 
 void layout_switch::propose(layout next, core::time_point now)
@@ -201,12 +241,17 @@
 void layout_switch::withdraw(std::string_view reason, core::time_point now)
 {
     failure_ = reason;
+    begin_reload();
+    enter(switch_phase::withdrawing, now);
+}
+
+void layout_switch::begin_reload()
+{
     version_ = next_version();
     next_layout_ = current_layout_;
     for (rank_view& v : ranks_) {
         v.accepted_load = false;
     }
-    enter(switch_phase::withdrawing, now);
 }
 
 void layout_switch::set_current_layout(group_epoch epoch, core::map_version version, layout current)
@@ -237,6 +282,9 @@
     if (any_held()) {
         secure(now);
     }
+    else if (!any_armed() && fence_needed()) {
+        fence(now);
+    }
     else if (!any_armed()) {
         enter(switch_phase::idle, now);
     }
@@ -254,13 +302,56 @@
             first = step && (!first || *step < *first) ? step : first;
         }
     }
-    step_ = *first;
     // An engine holds one step at a time, and an order to release the one that it holds may be
-    // late.
-    for (std::size_t i = 0; i < ranks_.size() && ranks_[holder_].state->held_step; ++i) {
+    // late. The agent of an engine that is reached directly may release a step under an earlier
+    // term.
+    for (std::size_t i = 0; i < ranks_.size(); ++i) {
+        const rank_view& holder = ranks_[holder_];
+        if (!holder.state->held_step && !holder.direct) {
+            step_ = *first;
+            enter(switch_phase::securing, now);
+            return;
+        }
         holder_ = static_cast<std::uint32_t>((holder_ + 1) % ranks_.size());
     }
-    enter(switch_phase::securing, now);
+    // All engines hold a step. This is possible only in a group of a few ranks.
+    for (std::uint32_t rank = 0; rank < ranks_.size(); ++rank) {
+        if (ranks_[rank].state->held_step == first && !ranks_[rank].direct) {
+            holder_ = rank;
+            step_ = *first;
+            enter(switch_phase::securing, now);
+            return;
+        }
+    }
+}
+
+void layout_switch::fence(core::time_point now)
+{
+    failure_ = {};
+    begin_reload();
+    enter(switch_phase::fencing, now);
+}
+
+void layout_switch::advance_fencing(core::time_point now)
+{
+    if (any_held() || any_armed()) {
+        // An earlier leader or its agent goes on. Nothing is disarmed without an own hold.
+        enter(switch_phase::settling, now);
+        settle(now);
+    }
+    else if (withdrawn()) {
+        fenced_ = true;
+        enter(switch_phase::idle, now);
+    }
+}
+
+void layout_switch::advance_idle(core::time_point now)
+{
+    if (!any_held()) {
+        return;
+    }
+    // A hold order was executed late. At this point either no engine is armed, or all are.
+    enter(held_by_others() ? switch_phase::settling : switch_phase::releasing, now);
 }
 
 void layout_switch::advance_securing(core::time_point now)
@@ -269,8 +360,8 @@
     if (holder.state->held_step == step_) {
         withdraw("left_behind", now);
     }
-    else if (holder.refused || !any_held()) {
-        // The step has begun, or the engine holds another one.
+    else if (holder.refused || holder.direct || !any_held()) {
+        // The step has begun, the engine holds another one, or its agent is silent.
         enter(switch_phase::settling, now);
     }
 }
@@ -287,11 +378,11 @@
     case switch_phase::securing:
         advance_securing(now);
         break;
+    case switch_phase::fencing:
+        advance_fencing(now);
+        break;
     case switch_phase::idle:
-        // A hold order was executed late. At this point either no engine is armed, or all are.
-        if (any_held()) {
-            enter(switch_phase::releasing, now);
-        }
+        advance_idle(now);
         break;
     case switch_phase::loading:
         advance_loading(now);
@@ -303,8 +394,8 @@
         advance_arming(now);
         break;
     case switch_phase::releasing:
-        if (!any_held()) {
-            enter(switch_phase::idle, now);
+        if (!any_held() || held_by_others()) {
+            enter(any_held() ? switch_phase::settling : switch_phase::idle, now);
         }
         break;
     case switch_phase::withdrawing:
@@ -322,6 +413,11 @@
         withdraw("late_hold", now);
         return;
     }
+    if (loaded && ranks_[holder_].direct) {
+        failure_ = "holder_silent";
+        enter(switch_phase::idle, now);
+        return;
+    }
     if (loaded) {
         step_ = choose_step();
         step_chosen_at_ = now;
@@ -352,8 +448,8 @@
         holder.refused = false;
         step_ = choose_step();
     }
-    if (now - phase_since_ > arm_timeout) {
-        withdraw("hold_timeout", now);
+    if (holder.direct || now - phase_since_ > arm_timeout) {
+        withdraw(holder.direct ? "holder_silent" : "hold_timeout", now);
     }
 }
 
@@ -376,104 +472,9 @@
 void layout_switch::advance_withdrawing(core::time_point now)
 {
     if (withdrawn() && !any_held()) {
+        fenced_ = true;
         enter(switch_phase::idle, now);
     }
 }
 
-engine_order layout_switch::make_order(order_kind kind) const
-{
-    engine_order order;
-    order.kind = kind;
-    order.epoch = *epoch_;
-    order.version = version_;
-    order.step = step_;
-    if (kind == order_kind::load) {
-        order.experts = next_layout_;
-    }
-    return order;
-}
-
-std::optional<engine_order> layout_switch::withdrawal_for(const rank_view& view) const
-{
-    if (view.state->armed) {
-        engine_order disarm = make_order(order_kind::disarm);
-        disarm.version = view.state->armed->version;
-        return disarm;
-    }
-    if (!view.accepted_load) {
-        return make_order(order_kind::load);
-    }
-    if (withdrawn() && view.state->held_step) {
-        engine_order release = make_order(order_kind::release);
-        release.step = *view.state->held_step;
-        return release;
-    }
-    return std::nullopt;
-}
-
-std::optional<engine_order> layout_switch::order_for(std::uint32_t rank) const
-{
-    const rank_view& view = ranks_[rank];
-    switch (phase_) {
-    case switch_phase::loading:
-        if (!view.accepted_load && view.state->loaded != version_) {
-            return make_order(order_kind::load);
-        }
-        break;
-    case switch_phase::securing:
-    case switch_phase::holding:
-        if (rank == holder_ && view.state->held_step != step_) {
-            return make_order(order_kind::hold);
-        }
-        break;
-    case switch_phase::arming:
-        if (view.state->armed != armed_layout{version_, step_}) {
-            return make_order(order_kind::arm);
-        }
-        break;
-    case switch_phase::releasing:
-        if (view.state->held_step) {
-            engine_order release = make_order(order_kind::release);
-            release.step = *view.state->held_step;
-            return release;
-        }
-        break;
-    case switch_phase::withdrawing:
-        return withdrawal_for(view);
-    case switch_phase::settling:
-    case switch_phase::idle:
-        break;
-    }
-    return std::nullopt;
-}
-
-std::vector<addressed_order> layout_switch::take_orders(core::time_point now)
-{
-    std::vector<addressed_order> orders;
-    // A phase may time out without a new state from any rank.
-    advance(now);
-    if (!group_running() || !same_epoch() || !epoch_) {
-        return orders;
-    }
-    for (std::uint32_t rank = 0; rank < ranks_.size(); ++rank) {
-        rank_view& view = ranks_[rank];
-        if (view.outstanding && now - view.outstanding->at <= order_timeout) {
-            continue;
-        }
-        std::optional<engine_order> order = order_for(rank);
-        if (!order) {
-            continue;
-        }
-        if (order->kind == order_kind::hold || order->kind == order_kind::release) {
-            last_held_step_ = std::max(last_held_step_, order->step);
-        }
-        // An order that is sent again keeps its id, so that a late answer to the first one counts.
-        const bool same = view.outstanding && same_request(view.outstanding->order, *order);
-        const order_id id = same ? view.outstanding->id : order_id{own_term_, ++orders_issued_};
-        view.outstanding = sent_order{id, *order, now};
-        orders.push_back({rank, id, std::move(*order)});
-    }
-    return orders;
-}
-
 } // namespace currantpitch::rankcontrol
--- a/src/rankcontrol/layoutswitch.h
+++ b/src/rankcontrol/layoutswitch.h
@@ -12,6 +12,7 @@
 enum class switch_phase {
     settling,    ///< determines the state that an earlier leader left behind
     securing,    ///< one engine is ordered to hold the step that an earlier leader held
+    fencing,     ///< all engines load the present layout again, which invalidates earlier orders
     idle,        ///< no switch is under way
     loading,     ///< the engines copy the experts of the next layout
     holding,     ///< one engine is ordered to hold the step of the switch
@@ -37,6 +38,11 @@
 /// either decision may still be executed. It holds the step itself, on another engine, and
 /// withdraws the switch. This class only decides: the caller transports orders and states, and
 /// passes on only states that were reported under this leader's term.
+///
+/// The leader may reach an engine directly while its agent is silent. That agent, or an earlier
+/// leader on its host, may still order the engine under an earlier term. Therefore such an engine
+/// is never ordered to hold a step, and the leader does not become idle before all engines have
+/// accepted a layout of its own term.
 class layout_switch {
 public:
     /// Versions are unique across leaders because they contain the term. The holder is the rank
@@ -52,6 +58,9 @@
                    const rank_state& state, core::time_point now);
     /// The connection to the rank is lost, so its state is unknown until the next report.
     void on_disconnected(std::uint32_t rank);
+    /// Sets whether the leader reads the states of the rank from the engine and sends its orders
+    /// there, since the agent is silent. The outstanding order is given up.
+    void set_direct(std::uint32_t rank, bool direct);
 
     /// Sets the time that a step takes. The step of a switch is chosen as far ahead as arming
     /// takes, so that the hold does not delay the group.
@@ -73,6 +82,11 @@
     /// Epoch and version that all ranks report; empty while they differ.
     std::optional<std::pair<group_epoch, core::map_version>> observed_layout_id() const;
     std::optional<group_epoch> epoch() const { return epoch_; }
+    /// Epoch and version of the layout that a withdrawal would send.
+    const std::optional<std::pair<group_epoch, core::map_version>>& current_layout_id() const
+    {
+        return current_layout_id_;
+    }
     /// The newest step that any rank reported.
     core::step_number newest_step() const;
     /// Factor by which each rank is slower than usual; 1 where it is unknown.
@@ -90,6 +104,11 @@
         std::optional<rank_state> state;
         std::optional<sent_order> outstanding;
         bool refused = false;
+        /// Whether the leader reaches the engine directly.
+        bool direct = false;
+        /// Whether the agent has reported under this leader's term, so that it obeys no earlier
+        /// one.
+        bool agent_obeys = false;
         /// Whether the rank accepted the newest load order.
         bool accepted_load = false;
     };
@@ -102,6 +121,15 @@
     core::step_number choose_step() const;
     /// Begins to hold the first step that an engine holds or is armed for.
     void secure(core::time_point now);
+    /// Whether an order of an earlier term may still be sent to an engine and be accepted.
+    bool fence_needed() const;
+    void fence(core::time_point now);
+    /// Whether a step is held that must not be released by a direct order in this phase. A newer
+    /// leader may hold it.
+    bool held_by_others() const;
+    /// Whether this leader's own hold is the one that the rank reports.
+    bool own_hold(std::uint32_t rank) const;
+    bool any_direct() const;
     bool same_epoch() const;
     bool any_armed() const;
     bool any_held() const;
@@ -110,15 +138,20 @@
     bool withdrawn() const;
     void enter(switch_phase p, core::time_point now);
     void withdraw(std::string_view reason, core::time_point now);
+    /// Begins to load the present layout on all engines under a new version.
+    void begin_reload();
     void settle(core::time_point now);
     void advance(core::time_point now);
     void advance_securing(core::time_point now);
+    void advance_fencing(core::time_point now);
+    void advance_idle(core::time_point now);
     void advance_loading(core::time_point now);
     void advance_holding(core::time_point now);
     void advance_arming(core::time_point now);
     void advance_withdrawing(core::time_point now);
     std::optional<engine_order> order_for(std::uint32_t rank) const;
     std::optional<engine_order> withdrawal_for(const rank_view& view) const;
+    std::optional<engine_order> release_for(std::uint32_t rank) const;
     engine_order make_order(order_kind kind) const;
 
     term own_term_;
@@ -141,6 +174,8 @@
     std::shared_ptr<const layout> next_layout_;
     core::map_version version_;
     core::step_number step_;
+    /// Whether all engines have accepted a layout of this term in this epoch.
+    bool fenced_ = false;
     /// Highest step of this epoch that was ordered to be held or released.
     core::step_number last_held_step_;
 };
--- a/src/rankcontrol/memberside.h
+++ b/src/rankcontrol/memberside.h
@@ -146,7 +146,9 @@
 {
     using namespace core::asio::experimental::awaitable_operators;
     const core::time_point connected_at = core::runtime_clock::now();
-    connection->send(wire::encode(member_hello{context_.settings.host, context_.own_group()}));
+    connection->send(
+        wire::encode(member_hello{context_.settings.host, context_.own_group(),
+                                  context_.settings.peer_address.address().to_string()}));
     co_await (read(connection, candidate) || connection->write_loop() ||
               report(connection, candidate) || context_.group_changed.wait());
     connection->close();
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -52,6 +52,16 @@
 inline constexpr std::uint64_t min_lead_steps = 2;
 /// Maximum time that a layout is armed ahead of its switch, because demand shifts meanwhile.
 inline constexpr std::chrono::milliseconds max_lead_time{1500};
+/// Time without a status from a rank's agent after which the leader reaches the rank's engine
+/// directly while a switch is under way or the leader settles. Statuses come every 120 ms.
+inline constexpr std::chrono::milliseconds agent_silence_limit{400};
+/// Interval at which the leader reads the state of such an engine while no switch is under way.
+inline constexpr std::chrono::milliseconds idle_direct_interval{500};
+/// Time after which the statuses of an agent that is back are used. The first ones may be older
+/// than the states that the leader read directly.
+inline constexpr std::chrono::milliseconds agent_return_time{2 * status_interval};
+/// Time for which the leader does not call an engine again that belongs to another group.
+inline constexpr std::chrono::milliseconds direct_exclusion_time{5000};
 /// Interval between two ticks of the leader.
 inline constexpr std::chrono::milliseconds leader_tick_interval{20};
 /// Delay before a failed or lost connection to a candidate is opened again, and after a failed
--- a/src/rankcontrol/rankexecutor.h
+++ b/src/rankcontrol/rankexecutor.h
@@ -16,12 +16,17 @@
     std::optional<rank_state> state;
 };
 
+/// Whether only this process orders the engine. The agent may order it too while the leader reaches
+/// it directly.
+enum class engine_use { sole, shared };
+
 /// Serializes the calls to one engine, so that states arrive in chronological order.
 template <rank_port Port>
 class rank_executor {
 public:
-    rank_executor(const core::asio::any_io_executor& executor, Port& port)
-        : port_(port), call_finished_(executor)
+    rank_executor(const core::asio::any_io_executor& executor, Port& port,
+                  engine_use use = engine_use::sole)
+        : port_(port), use_(use), call_finished_(executor)
     {
     }
 
@@ -57,6 +62,7 @@
     }
 
     Port& port_;
+    engine_use use_;
     core::notifier call_finished_;
     bool busy_ = false;
 };
@@ -104,6 +110,7 @@
     executed_order executed;
     bool unanswered = false;
     bool withdrawn = false;
+    bool unarmed_before = false;
     int attempts = 0;
     while (attempts < max_order_attempts && !executed.result) {
         withdrawn = !obeys(origin);
@@ -117,12 +124,20 @@
             break;
         }
         const core::result<rank_state> state = co_await port_.state(call_deadline());
-        // A load order that was accepted without an answer is refused when it is sent again.
+        // A load order that was accepted without an answer is refused when it is sent again. So is
+        // one to an armed engine, and a leader may arm and disarm it directly in the meantime.
+        const bool unarmed = state && !state.value().armed;
+        const bool repeated_load = unanswered && answer && order.kind == order_kind::load;
         const bool accepted_before =
-            unanswered && answer && order.kind == order_kind::load && state && !state.value().armed;
+            repeated_load && unarmed && unarmed_before && use_ == engine_use::sole;
+        unarmed_before = unarmed;
         if (state && (fulfilled(order, state.value()) || accepted_before)) {
             executed.result = order_result::already;
         }
+        else if (repeated_load && use_ == engine_use::shared) {
+            // The state will show the result when the experts are copied.
+            break;
+        }
         else if (answer) {
             executed.result = order_result::refused;
         }
--- a/src/rankcontrol/rankmessages.h
+++ b/src/rankcontrol/rankmessages.h
@@ -34,11 +34,13 @@
     static constexpr std::uint8_t type = member_hello_type;
     core::host_id host;
     group_key group;
+    /// Address of the host, as the registration of its endpoint names it.
+    std::string address;
 };
 template <class Archive>
 void describe(Archive& archive, member_hello& m)
 {
-    archive(m.host, m.group.service, m.group.group);
+    archive(m.host, m.group.service, m.group.group, m.address);
 }
 
 /// Heartbeat of a candidate and the term under which it leads the group; the term is zero when it
--- a/src/rankcontrol/tests/simulatedagent.h
+++ b/src/rankcontrol/tests/simulatedagent.h
@@ -2,6 +2,7 @@
 
 #include "fakes/rankgroup.h"
 #include "rankcontrol/layoutswitch.h"
+#include "rankcontrol/rankexecutor.h"
 
 #include <deque>
 #include <functional>
@@ -24,7 +25,12 @@
     /// Returns a number below the bound.
     using choice = std::function<std::size_t(std::size_t)>;
 
-    simulated_agent(std::uint32_t rank, fakes::rank_group& group) : rank_(rank), group_(&group) {}
+    /// With shared use, simulates the leader's own calls to an engine that has an agent too.
+    simulated_agent(std::uint32_t rank, fakes::rank_group& group,
+                    rankcontrol::engine_use use = rankcontrol::engine_use::sole)
+        : rank_(rank), group_(&group), use_(use)
+    {
+    }
 
     bool obeys(const rankcontrol::order_id& id) const { return fence_known && id.term == promised; }
     void begin_order(std::size_t leader, rankcontrol::addressed_order order)
@@ -107,7 +113,8 @@
         }
         const rankcontrol::rank_state after = group_->state(rank_);
         const bool accepted_before = o.attempts > 0 && answered &&
-                                     order.kind == rankcontrol::order_kind::load && !after.armed;
+                                     order.kind == rankcontrol::order_kind::load && !after.armed &&
+                                     use_ == rankcontrol::engine_use::sole;
         if (fulfilled(order, after) || accepted_before) {
             return order_result::already;
         }
@@ -116,6 +123,7 @@
 
     std::uint32_t rank_;
     fakes::rank_group* group_;
+    rankcontrol::engine_use use_;
     rankcontrol::order_id newest_order_;
     std::deque<order_in_progress> orders_;
 };
