--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -386,9 +386,8 @@
         return std::nullopt;
     }
     const core::endpoint_id endpoint = chosen->properties.endpoint;
-    return start_at(endpoint, now, request.priority)
-               ? std::optional<core::endpoint_id>(endpoint)
-               : std::nullopt;
+    return start_at(endpoint, now, request.priority) ? std::optional<core::endpoint_id>(endpoint)
+                                                     : std::nullopt;
 }
 
 bool scheduler::has_candidate(const dispatch_request& request) const
