--- a/src/proxy/tests/tst_requestflow.cpp
+++ b/src/proxy/tests/tst_requestflow.cpp
@@ -167,6 +167,42 @@
     CHECK(answer.find("id: 3") == answer.rfind("id: 3"));
 }
 
+// A request may hold a slot at the endpoint when its failure domain is evacuated.
+TEST(request_flows, slot_at_an_endpoint_that_is_evacuated_meanwhile_is_not_used)
+{
+    configure(routes::retry_policy::at_most_once);
+    shared.endpoints.set_evacuated({core::failure_domain_id("fd")});
+    b.replies = {{full_answer("7", "text")}};
+    send_request();
+    CHECK(answer.ends_with("text"));
+    LONGS_EQUAL(0, a.received_requests.size());
+}
+
+TEST(request_flows, broken_stream_is_not_resumed_in_an_evacuated_failure_domain)
+{
+    configure(routes::retry_policy::resumable_stream);
+    a.replies = {{stream_head("7") + events(0, 2), reply::after_reply::reset}};
+    shared.endpoints.set_evacuated({core::failure_domain_id("other")});
+    send_request();
+    CHECK(answer.find("id: 2\ndata: x") != std::string::npos);
+    CHECK(!ends_with_last_chunk());
+    LONGS_EQUAL(0, b.received_requests.size());
+}
+
+TEST(request_flows, request_is_refused_at_once_if_all_endpoints_are_evacuated)
+{
+    configure(routes::retry_policy::idempotent);
+    shared.endpoints.set_evacuated(
+        {core::failure_domain_id("fd"), core::failure_domain_id("other")});
+    shared.apply_endpoints();
+    const core::time_point sent_at = core::runtime_clock::now();
+    send_request();
+    LONGS_EQUAL(503, status());
+    CHECK(answer.ends_with("no_endpoint"));
+    CHECK(core::runtime_clock::now() - sent_at < 80ms);
+    LONGS_EQUAL(0, received_requests());
+}
+
 TEST(request_flows, stream_that_cannot_be_resumed_is_cut)
 {
     configure(routes::retry_policy::one_shot_stream);
--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -13,6 +13,9 @@
     return end == std::string::npos ? target : target.substr(0, end + 1);
 }
 
+/// What the platform's contact time exceeds the settling time by.
+constexpr std::chrono::milliseconds contact_margin{1000};
+
 bool means_not_run(unsigned status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -136,6 +139,11 @@
             add_finding("endpoint-signal", a.request, a.endpoint.str() + " " + finding);
         }
     }
+    if (!a.misdirected && evacuations_.is_late(a.endpoint, a.at, limits_.evacuate) &&
+        gateway_undisturbed(s.call.gateway, a.at - contact_margin, a.at)) {
+        add_finding("evacuation", a.request,
+                    a.endpoint.str() + " gateway=" + std::to_string(s.call.gateway));
+    }
     if (a.quiet_time.count() > 0) {
         endpoint_signals_.on_quiet(s.call.gateway, a.endpoint, a.quiet_time, a.at);
     }
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/runtimeclock.h"
+#include "soak/evacuationchecker.h"
 #include "soak/signalchecker.h"
 #include "soak/soakconstants.h"
 #include "standins/standincaller.h"
@@ -71,6 +72,8 @@
     {
         endpoint_signals_.on_leaving(e, at);
     }
+    /// Takes the evacuations of failure domains.
+    evacuation_checker& evacuations() { return evacuations_; }
     /// Reports that a part of a prompt crashed an endpoint.
     void on_part_crash(core::time_point at) { part_crashes_.push_back(at); }
     /// Reports that a request with this target crashed an endpoint.
@@ -157,6 +160,7 @@
 
     guarantee_limits limits_;
     signal_checker endpoint_signals_;
+    evacuation_checker evacuations_;
     std::vector<configuration> configurations_;
     std::map<core::endpoint_id, core::time_point> leaving_;
     std::vector<disturbance> disturbances_;
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds drain{2000};
     /// Time after which a removed key must not be accepted.
     std::chrono::milliseconds revoke{5000};
+    /// Time after which no request must reach an evacuated failure domain.
+    std::chrono::milliseconds evacuate{5000};
     /// Time beyond a route's timeout within which a request must have its final answer.
     std::chrono::milliseconds answer{500};
     /// Time within which the whole system serves requests again.
@@ -60,6 +62,13 @@
 inline constexpr std::chrono::milliseconds mean_fault_interval{900};
 /// The same for each kind that is added to the faults of a seed.
 inline constexpr std::chrono::milliseconds mean_added_fault_interval{10000};
+/// Bounds of the time for which a failure domain is evacuated, and of the pause before the next
+/// one.
+inline constexpr std::chrono::milliseconds min_evacuation{6000};
+inline constexpr std::chrono::milliseconds max_evacuation{10000};
+inline constexpr std::chrono::milliseconds max_evacuation_pause{1500};
+/// Probability that the next evacuation begins before the end of the previous one.
+inline constexpr double evacuation_overlap_probability = 0.3;
 /// Mean pause of a caller between two requests.
 inline constexpr std::chrono::milliseconds mean_caller_pause{220};
 /// Ports of the site. Each process has a loopback address of its own.
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -35,6 +35,7 @@
     co_await injector.run(make_fault_script(options.site.seed, options.faults));
     site.environment().crashing_part.clear();
     site.environment().crashing_target_end.clear();
+    site.evacuations().stop();
     co_await core::sleep_for(guarantee_limits{}.recovery);
     const core::time_point recovered = core::runtime_clock::now();
     const core::step_number step = site.group().step();
@@ -61,6 +62,7 @@
               << " part_crashes=" << checker.part_crashes()
               << " request_crashes=" << checker.request_crashes()
               << " late_crashing_requests=" << checker.late_crashing_requests()
+              << " evacuations=" << checker.evacuations().evacuations()
               << " sound_suspected=" << checker.sound_suspected()
               << " peak_gateway_bytes=" << injector.peak_gateway_memory_bytes()
               << " switches=" << site.group().switches() << " served_after=" << served
@@ -118,6 +120,8 @@
                  "Let a part of some prompts crash the ranks that begin to answer it");
     app.add_flag("--crashing-request", options.site.crashing_request,
                  "Let one request on each route crash the endpoints that run it");
+    app.add_flag("--evacuation", options.site.evacuation,
+                 "Let the operator evacuate one failure domain after the other");
     app.add_flag("--list", options.list, "Only print the faults of the seed");
     app.footer(
         "Exit codes: 0 if every guarantee held, 1 if one was violated; the findings name it.");
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -23,6 +23,7 @@
     caller_block
 };
 
+constexpr unsigned failure_domains = 3;
 constexpr std::uint64_t stream_events = 20;
 constexpr unsigned slots = 10;
 /// Time between two steps of the group.
@@ -89,7 +90,9 @@
 soak_site::soak_site(const asio::any_io_executor& executor, site_options options,
                      guarantee_checker& checker)
     : executor_(executor), options_(std::move(options)), checker_(checker), random_(options_.seed),
-      store_(executor), shape_{options_.ranks, 2, options_.ranks * 4, 6, 2}, group_(shape_)
+      store_(executor),
+      evacuations_(store_, checker_.evacuations(), failure_domains, options_.seed),
+      shape_{options_.ranks, 2, options_.ranks * 4, 6, 2}, group_(shape_)
 {
     environment_.stream_events = stream_events;
     gateways_.reserve(options_.gateways);
@@ -139,7 +142,7 @@
 void soak_site::build_gateway(std::size_t i)
 {
     const std::string ip = loopback_ip(gateway_block, i);
-    const std::string domain = "fd-" + std::to_string(i % 3);
+    const std::string domain = "fd-" + std::to_string(i % failure_domains);
     const std::string store = address_text(loopback_ip(store_block, i), proxy_port);
     const std::string name = "gateway-" + std::to_string(i);
     const std::string settings =
@@ -148,7 +151,10 @@
         "\", readiness: \"" + address_text(ip, readiness_port) + "\", peers: \"" +
         address_text(ip, peer_port) + "\", metrics: \"" + address_text(ip, metrics_port) +
         "\"}\nrevocation_time: 5000ms\nretries: {ratio: 0.2, slack: " +
-        std::to_string(guarantee_limits{}.retry_slack) + ", window: 10s}\n";
+        std::to_string(guarantee_limits{}.retry_slack) + ", window: 10s}\n" +
+        (options_.evacuation
+             ? "evacuation_time: " + std::to_string(guarantee_limits{}.evacuate.count()) + "ms\n"
+             : "");
     node n = make_node(name, settings, i);
     const asio::ip::tcp::endpoint link = tcp_endpoint(loopback_ip(caller_block, i), proxy_port);
     n.caller_link = std::make_unique<fault_proxy>(executor_, link, tcp_endpoint(ip, caller_port));
@@ -166,7 +172,7 @@
                                            tcp_endpoint(ip, endpoint_port));
     core::spawn(executor_, e.link->run());
     e.address = address_text(ip, proxy_port);
-    e.domain = "fd-" + std::to_string(i % 3);
+    e.domain = "fd-" + std::to_string(i % failure_domains);
 }
 
 void soak_site::build_rank(std::size_t i)
@@ -189,7 +195,7 @@
     agents_.push_back(make_node(
         name,
         common_settings(
-            "rank-agent", name, "fd-" + std::to_string(i % 3),
+            "rank-agent", name, "fd-" + std::to_string(i % failure_domains),
             address_text(loopback_ip(store_block, first_agent_store_number + i), proxy_port)) +
             "listen: {peers: \"" + address_text(ip, peer_port) + "\", metrics: \"" +
             address_text(ip, metrics_port) + "\"}\nengine: {address: \"" +
@@ -281,6 +287,7 @@
     boost::json::value spec = boost::json::parse(encode_registration(
         o.service.str(), e.address, e.domain, o.slots, draining, o.incarnation));
     registrations_[o.endpoint.str()] = spec;
+    checker_.evacuations().on_endpoint(o.endpoint, e.domain);
     store_.put({std::string(platform::endpoint_kind), o.endpoint.str()}, std::move(spec));
     if (draining) {
         checker_.on_endpoint_leaving(o.endpoint, core::runtime_clock::now());
@@ -331,6 +338,7 @@
     for (const std::pair<const std::string, boost::json::value>& entry : registrations_) {
         store_.put({kind, entry.first}, entry.second);
     }
+    evacuations_.publish_again();
 }
 
 void soak_site::start()
@@ -354,6 +362,9 @@
 {
     environment_.crashing_part = options_.crashing_part ? crashing_part_id : "";
     environment_.crashing_target_end = options_.crashing_request ? crashing_target_end : "";
+    if (options_.evacuation) {
+        core::spawn(executor_, evacuations_.run());
+    }
     for (std::size_t i = 0; i < options_.callers; ++i) {
         callers_.push_back(std::make_unique<caller>(environment_, checker_, i, random_()));
         ++running_callers_;
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/callers.h"
+#include "soak/evacuationoperator.h"
 #include "soak/faultproxy.h"
 #include "soak/guaranteechecker.h"
 #include "soak/nodeprocess.h"
@@ -29,6 +30,8 @@
     bool crashing_part = false;
     /// Whether one request on each route crashes the endpoints that run it.
     bool crashing_request = false;
+    /// Whether the operator evacuates one failure domain after the other.
+    bool evacuation = false;
 };
 
 /// A complete site on loopback: the processes under test and, within this process, the store, the
@@ -72,6 +75,7 @@
     platform::standins::standin_store& store() { return store_; }
     fakes::rank_group& group() { return group_; }
     guarantee_checker& checker() { return checker_; }
+    evacuation_operator& evacuations() { return evacuations_; }
     caller_environment& environment() { return environment_; }
     const core::asio::any_io_executor& executor() const { return executor_; }
 
@@ -111,6 +115,7 @@
     guarantee_checker& checker_;
     std::mt19937_64 random_;
     platform::standins::standin_store store_;
+    evacuation_operator evacuations_;
     rankcontrol::layout_shape shape_;
     fakes::rank_group group_;
     std::vector<node> gateways_;
--- a/tests/soak/tst_guaranteechecker.cpp
+++ b/tests/soak/tst_guaranteechecker.cpp
@@ -461,3 +461,31 @@
     CHECK(!checker.on_arrival(0, e, t0, t0 + 1999ms).empty());
     CHECK(checker.on_arrival(0, e, t0, t0 + 2s).empty());
 }
+
+TEST(judges, requests_to_an_evacuated_failure_domain_are_found)
+{
+    checker.evacuations().on_endpoint(core::endpoint_id("e-1"), "fd-1");
+    checker.evacuations().on_evacuated("fd-2", t0);
+    checker.evacuations().on_evacuated("fd-1", t0 + 1s);
+    serve(send(5900ms));
+    arrival misdirected = make_arrival(send(6100ms));
+    misdirected.runs = false;
+    misdirected.misdirected = true;
+    checker.on_arrival(misdirected);
+    // A gateway that was cut off 4 s ago need not know of the evacuation.
+    checker.on_disturbance_start(disturbance_target::gateway, 0, t0 + 1s);
+    checker.on_disturbance_end(disturbance_target::gateway, 0, t0 + 3s);
+    serve(send(6900ms));
+    CHECK(!has_finding("evacuation"));
+    serve(send(7100ms));
+    CHECK(has_finding("evacuation"));
+}
+
+TEST(judges, requests_are_allowed_from_the_end_of_an_evacuation_on)
+{
+    checker.evacuations().on_endpoint(core::endpoint_id("e-1"), "fd-1");
+    checker.evacuations().on_evacuated("fd-1", t0);
+    checker.evacuations().on_lifted("fd-1");
+    serve(send(6s));
+    CHECK(!has_finding("evacuation"));
+}
