Let a leader lead until it ends, and judge nobody silent after a standstill

An earlier candidate deposed a working leader as soon as it ran. In the trace a candidate that woke acted on its timers before it read the heartbeats that had arrived, claimed term 2, and the leadership changed twice, each time with a withdrawal and a new settling.

A candidate now claims only if all earlier ones are silent and each other one is silent or has said that it does not lead. A process that stood still for 600 ms judges nobody silent for 500 ms, claims nothing and sends no orders. Silence is judged by the last frame read, not by the deadline of a read.

--- a/src/rankcontrol/agentcontext.h
+++ b/src/rankcontrol/agentcontext.h
@@ -5,6 +5,7 @@
 #include "core/task.h"
 #include "rankcontrol/layouthistory.h"
 #include "rankcontrol/rankstate.h"
+#include "rankcontrol/standstillwatch.h"
 #include "routes/routetable.h"
 #include "settings/nodesettings.h"
 
@@ -79,6 +80,7 @@
     std::optional<settings::address> leader;
     /// Layouts that were ordered for the group.
     layout_history layouts;
+    standstill_watch standstill;
     bool stopping = false;
 };
 
--- a/src/rankcontrol/candidatedirect.h
+++ b/src/rankcontrol/candidatedirect.h
@@ -69,6 +69,9 @@
     const bool own = engine_.state() && engine_.state()->rank == state.rank;
     if (!leader_ || state.group != context_.group || state.group_size != leader_->shape().ranks ||
         state.rank >= state.group_size || has_agent || own) {
+        if (leader_ && has_agent && state.group == context_.group) {
+            leader_->set_direct(state.rank, false);
+        }
         return false;
     }
     highest_term_ = std::max(highest_term_, newest_term(state));
--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -9,7 +9,8 @@
 namespace currantpitch::rankcontrol {
 
 /// The candidate role of an agent in its group: serves the members that connect, and leads the
-/// group while no earlier candidate is alive.
+/// group from when no earlier candidate is alive and no other one leads. A leader leads until it
+/// ends or a later term is claimed: an earlier candidate that returns does not depose it.
 template <class Store, rank_port Port>
 class candidate_side {
 public:
@@ -22,7 +23,7 @@
 
     /// Serves the connection of one member until it is closed or times out.
     core::task<void> serve_member(std::shared_ptr<wire::framed_connection> connection);
-    /// Reads the highest term from the store, then leads while no earlier candidate is alive.
+    /// Reads the highest term from the store, then leads when it may.
     core::task<void> run();
     bool is_leading() const { return leader_ != nullptr; }
 
@@ -114,7 +115,7 @@
     s->address = boost::asio::ip::make_address(hello.value().address, not_an_address);
     sessions_.push_back(s);
     co_await (read(s) || connection->write_loop() || send_claims(s) ||
-              context_.group_changed.wait());
+              until_silent(connection, context_.standstill) || context_.group_changed.wait());
     connection->close();
     std::erase(sessions_, s);
     core::log_event("member_down").field("member", hello.value().host);
@@ -127,8 +128,7 @@
 core::task<void> candidate_side<Store, Port>::read(std::shared_ptr<session> s)
 {
     while (!s->connection->closed()) {
-        const core::result<std::string> frame = co_await core::with_deadline(
-            s->connection->receive(), core::runtime_clock::now() + candidate_heartbeat_timeout);
+        const core::result<std::string> frame = co_await s->connection->receive();
         if (!frame) {
             co_return;
         }
@@ -246,17 +246,19 @@
             continue;
         }
         const std::optional<layout_shape> current_shape = engine_.shape();
-        const bool earlier_running = member_.earlier_candidate_running();
         if (leader_ && leader_->deposed()) {
             end_leading("deposed");
         }
-        if (leader_ && earlier_running) {
-            end_leading("earlier_candidate");
+        if (leader_ && context_.promised > leader_->own_term()) {
+            end_leading("later_term");
+        }
+        if (leader_ && !member_.is_own_candidate()) {
+            end_leading("not_a_candidate");
         }
         if (leader_ && current_shape != leader_->shape()) {
             end_leading("shape_changed");
         }
-        if (!leader_ && current_shape && !earlier_running) {
+        if (!leader_ && current_shape && member_.may_claim()) {
             co_await claim_leadership();
         }
         if (leader_) {
@@ -329,6 +331,10 @@
 void candidate_side<Store, Port>::tick()
 {
     const core::time_point now = core::runtime_clock::now();
+    if (context_.standstill.recently_resumed()) {
+        // A later term may have been claimed in the meantime.
+        return;
+    }
     if (engine_.state() && context_.promised == leader_->own_term()) {
         leader_->on_status(engine_.status_for_leader(true), now);
     }
--- a/src/rankcontrol/memberside.h
+++ b/src/rankcontrol/memberside.h
@@ -4,6 +4,7 @@
 #include "rankcontrol/enginemonitor.h"
 #include "rankcontrol/expertlisttracker.h"
 #include "rankcontrol/groupmembers.h"
+#include "rankcontrol/silencewatch.h"
 #include "wire/framedconnection.h"
 #include "wire/packer.h"
 #include "wire/unpacker.h"
@@ -30,13 +31,17 @@
     void on_group_changed()
     {
         members_.set_own_group(context_.group);
-        last_contact_.clear();
+        contacts_.clear();
         dial_candidates();
     }
     /// Connects to the candidates that have no connection yet.
     void dial_candidates();
-    /// Whether a candidate that precedes this agent is alive, or this agent is not a candidate.
-    bool earlier_candidate_running() const;
+    /// Whether this agent may claim the leadership: it is a candidate, no earlier candidate is
+    /// alive, and each other one is silent or has said that it does not lead. Nobody is judged
+    /// silent right after a standstill of this process.
+    bool may_claim();
+    /// Whether this agent is a candidate of its group.
+    bool is_own_candidate() const { return is_candidate(context_.settings.peer_address); }
 
 private:
     using connection_pointer = std::shared_ptr<wire::framed_connection>;
@@ -57,7 +62,12 @@
     agent_context& context_;
     engine_monitor<Port>& engine_;
     group_members members_;
-    std::map<settings::address, core::time_point> last_contact_;
+    /// The last frame and the last claim of a candidate.
+    struct contact {
+        core::time_point at;
+        term claimed;
+    };
+    std::map<settings::address, contact> contacts_;
     std::set<settings::address> dialled_;
 };
 
@@ -106,21 +116,28 @@
 }
 
 template <rank_port Port>
-bool member_side<Port>::earlier_candidate_running() const
+bool member_side<Port>::may_claim()
 {
+    if (!is_own_candidate() || context_.standstill.recently_resumed()) {
+        return false;
+    }
     const core::time_point now = core::runtime_clock::now();
+    bool earlier = true;
     for (const settings::address& candidate : members_.candidates()) {
         if (candidate == context_.settings.peer_address) {
-            return false;
+            earlier = false;
+            continue;
         }
-        const auto entry = last_contact_.find(candidate);
-        const core::time_point last_contact =
-            entry == last_contact_.end() ? context_.joined_at : entry->second;
-        if (now - last_contact <= candidate_heartbeat_timeout) {
-            return true;
+        const auto found = contacts_.find(candidate);
+        const bool heard = found != contacts_.end();
+        const core::time_point heard_at = heard ? found->second.at : context_.joined_at;
+        // A leader whose term is not the highest any more does not count.
+        const bool may_lead = !heard || (found->second.claimed.value > 0 &&
+                                         found->second.claimed >= context_.promised);
+        if (now - heard_at <= candidate_heartbeat_timeout && (earlier || may_lead)) {
+            return false;
         }
     }
-    // This agent is not a candidate.
     return true;
 }
 
@@ -150,15 +167,16 @@
         wire::encode(member_hello{context_.settings.host, context_.own_group(),
                                   context_.settings.peer_address.address().to_string()}));
     co_await (read(connection, candidate) || connection->write_loop() ||
-              report(connection, candidate) || context_.group_changed.wait());
+              until_silent(connection, context_.standstill) || report(connection, candidate) ||
+              context_.group_changed.wait());
     connection->close();
     if (context_.leader == candidate) {
         core::log_event("group_leader_lost")
             .field("group", context_.group)
             .field("term", context_.promised);
     }
-    const auto contact = last_contact_.find(candidate);
-    co_return contact != last_contact_.end() && contact->second >= connected_at;
+    const auto found = contacts_.find(candidate);
+    co_return found != contacts_.end() && found->second.at >= connected_at;
 }
 
 template <rank_port Port>
@@ -168,6 +186,7 @@
     if (claim.group != context_.group) {
         return;
     }
+    contacts_[candidate].claimed = t;
     if (t.value > 0 && context_.fence_known && t >= context_.promised) {
         context_.promise(t, candidate.address().to_string());
         context_.leader = candidate;
@@ -178,14 +197,13 @@
 core::task<void> member_side<Port>::read(connection_pointer connection, settings::address candidate)
 {
     while (!connection->closed()) {
-        const core::result<std::string> frame = co_await core::with_deadline(
-            connection->receive(), core::runtime_clock::now() + candidate_heartbeat_timeout);
+        const core::result<std::string> frame = co_await connection->receive();
         if (!frame) {
             co_return;
         }
         const core::result<leader_claim> claimed = wire::decode<leader_claim>(frame.value());
         if (!claimed || claimed.value().group == context_.group) {
-            last_contact_[candidate] = core::runtime_clock::now();
+            contacts_[candidate].at = core::runtime_clock::now();
         }
         if (claimed) {
             on_claim(claimed.value(), candidate);
--- a/src/rankcontrol/rankagentnode.h
+++ b/src/rankcontrol/rankagentnode.h
@@ -9,7 +9,7 @@
 namespace currantpitch::rankcontrol {
 
 /// The agent of one engine: reports the engine's state to the candidates of its group, executes the
-/// leader's orders, and leads the group when it is the first candidate that is alive.
+/// leader's orders, and leads the group when no other candidate does.
 template <gateway::site_platform Site, rank_port Port>
 class rank_agent_node {
 public:
@@ -95,6 +95,7 @@
     core::spawn(context_.executor, http::serve(metrics_listener_, metrics_));
     core::spawn(context_.executor, accept_members());
     core::spawn(context_.executor, follow_group());
+    core::spawn(context_.executor, context_.standstill.run());
     core::spawn(context_.executor, engine_.run());
     core::spawn(context_.executor, candidate_.run());
     while (!context_.stopping) {
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -21,6 +21,12 @@
 /// Time without a frame after which a candidate or a member counts as gone. Frames that a busy
 /// host sends late must not depose a candidate.
 inline constexpr std::chrono::milliseconds candidate_heartbeat_timeout{1200};
+/// Interval at which an agent checks whether its process stood still, and the time between two
+/// checks above which it did. Shorter standstills do not make others seem silent.
+inline constexpr std::chrono::milliseconds standstill_check_interval{100};
+inline constexpr std::chrono::milliseconds standstill_limit{600};
+/// Time after a standstill in which nobody is judged silent: two claim intervals.
+inline constexpr std::chrono::milliseconds resume_time{2 * claim_interval};
 /// Intervals at which an agent polls its engine: usually, and while the engine copies experts.
 inline constexpr std::chrono::milliseconds status_interval{120};
 inline constexpr std::chrono::milliseconds loading_status_interval{40};
