Share slots by the peers' demand and among the gateways that report

A gateway knew only its own demand by priority, and the fair share of registered gateways that are down stayed unused.

load_report carries running and waiting requests and the demand by priority, for services with several priorities. The reserve uses their sum; a gateway without fresh reports keeps to its own share. Gateways whose last report is older than two lifetimes have no share; the count is never below half of the registered ones. Gauges show room, reserve and demand by priority, and a log line shows them for each refused request.

--- a/src/dispatch/dispatchconstants.h
+++ b/src/dispatch/dispatchconstants.h
@@ -46,6 +46,14 @@
 inline constexpr std::chrono::milliseconds limit_adjustment_interval{500};
 /// Minimum number of gaps observed in an interval for adjusting the limit.
 inline constexpr std::size_t min_gap_samples = 8;
+/// Highest number of a priority, the least urgent one, that reports name.
+inline constexpr unsigned max_priority = 1000;
+/// Steps in which reports state the number of slots that requests are expected to use, so that a
+/// report that says nothing new is not sent again.
+inline constexpr double expected_slots_step = 0.25;
+/// Time after its last report, in lifetimes of a report, from which a gateway no longer has a share
+/// of the slots. One late report changes no shares.
+inline constexpr int lifetimes_before_leaving = 2;
 /// Maximum number of requests that wait at one entry for one service. Further ones are refused
 /// immediately.
 inline constexpr std::size_t max_waiting = 256;
--- a/src/dispatch/dispatchmessages.h
+++ b/src/dispatch/dispatchmessages.h
@@ -23,17 +23,34 @@
     archive(m.endpoint, m.running);
 }
 
-/// Reports where an entry's requests run, and whether callers may be sent to this entry. Replaces
-/// the sender's previous report.
+/// The sender's requests of one priority of a service.
+struct priority_load_report {
+    core::service_id service;
+    /// 0 is the most urgent.
+    std::uint32_t priority = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// Slots that the requests are expected to use.
+    double expected = 0;
+};
+template <class Archive>
+void describe(Archive& archive, priority_load_report& m)
+{
+    archive(m.service, m.priority, m.running, m.waiting, m.expected);
+}
+
+/// Reports where an entry's requests run, how many there are of each priority where services have
+/// several, and whether callers may be sent to this entry. Replaces the sender's previous report.
 struct load_report {
     static constexpr std::uint8_t type = load_report_type;
     bool ready = false;
     std::vector<endpoint_load> loads;
+    std::vector<priority_load_report> priorities;
 };
 template <class Archive>
 void describe(Archive& archive, load_report& m)
 {
-    archive(m.ready, m.loads);
+    archive(m.ready, m.loads, m.priorities);
 }
 
 } // namespace currantpitch::dispatch
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -2,7 +2,6 @@
 
 #include "core/counters.h"
 #include "dispatch/dispatchconstants.h"
-#include "overload/waitpolicy.h"
 
 #include <algorithm>
 #include <cmath>
@@ -70,6 +69,7 @@
     update_peer_totals(state, true);
     update_reserve();
     oldest_report_ = std::min(oldest_report_, now);
+    sharing_[peer] = now;
 }
 
 void scheduler::remove_peer(const core::host_id& peer)
@@ -81,17 +81,6 @@
     }
 }
 
-void scheduler::update_reserve()
-{
-    overload::load_by_priority sum;
-    for (const std::pair<const core::host_id, peer_state>& peer : peers_) {
-        for (const std::pair<const int, overload::priority_load>& entry : peer.second.by_priority) {
-            sum[entry.first] += entry.second;
-        }
-    }
-    reserve_.set_peer_load(std::move(sum));
-}
-
 void scheduler::update_peer_totals(const peer_state& peer, bool added)
 {
     for (const std::pair<const core::endpoint_id, unsigned>& entry : peer.load) {
@@ -235,59 +224,6 @@
     return found;
 }
 
-scheduler::slot_usage scheduler::usage(core::time_point now)
-{
-    remove_expired_reports(now);
-    slot_usage u;
-    for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
-        const endpoint_state& s = entry.second;
-        u.slots += usable_slots(s);
-        u.used += s.own_requests + peer_load(entry.first);
-        u.own += s.own_requests;
-    }
-    return u;
-}
-
-bool scheduler::fair_share_used(core::time_point now)
-{
-    const slot_usage u = usage(now);
-    const double fair_share = std::max(u.slots / static_cast<double>(process_count_), 1.0);
-    return u.used >= busy_fraction * u.slots && u.own + 1 > fair_share;
-}
-
-std::optional<overload::priority_reserve::decision>
-scheduler::reserve_decision(int priority, core::time_point now)
-{
-    if (!reserve_.active()) {
-        return std::nullopt;
-    }
-    const slot_usage u = usage(now);
-    return reserve_.room_for(priority,
-                             {u.slots, u.used, static_cast<double>(process_count_),
-                              process_count_ == 1 || !peers_.empty()},
-                             now);
-}
-
-bool scheduler::has_room(int priority, core::time_point now)
-{
-    const std::optional<overload::priority_reserve::decision> d = reserve_decision(priority, now);
-    return d ? d->room : !fair_share_used(now);
-}
-
-bool scheduler::reserved(const dispatch_request& request, core::time_point now)
-{
-    return reserve_.active() && !has_room(request.priority, now);
-}
-
-bool scheduler::may_start_in_time(const dispatch_request& request, core::time_point now)
-{
-    const std::optional<overload::priority_reserve::decision> d =
-        reserve_decision(request.priority, now);
-    return !d || overload::may_start_in_time(
-                     reserve_.waiting(request.priority),
-                     reserve_.expected_starts(request.priority, *d, request.deadline - now));
-}
-
 const scheduler::endpoint_state* scheduler::choose(const dispatch_request& request,
                                                    bool include_requestable, core::time_point now)
 {
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -3,6 +3,7 @@
 #include "backpressure/endpointsignals.h"
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
+#include "dispatch/dispatchmessages.h"
 #include "dispatch/loadreporttiming.h"
 #include "overload/priorityreserve.h"
 
@@ -148,6 +149,11 @@
     /// Callers that are refused one after another get successive times.
     std::chrono::milliseconds retry_after_limit(core::time_point now);
 
+    /// Number of entries that share the slots: this one and those whose reports are fresh. At least
+    /// half of the registered ones, and all of them while none reports, as this entry is then most
+    /// likely the one that is cut off.
+    std::size_t sharing_count(core::time_point now);
+
 private:
     struct endpoint_state {
         available_endpoint properties;
@@ -224,6 +230,8 @@
     /// Lower bound on the time of the oldest report.
     core::time_point oldest_report_ = core::time_point::max();
     std::size_t process_count_ = 1;
+    /// Time of the latest report of each peer that has a share of the slots.
+    std::map<core::host_id, core::time_point> sharing_;
     std::chrono::milliseconds report_lifetime_ = min_load_report_lifetime;
     std::set<waiting_request, by_urgency> waiting_;
     ticket last_ticket_;
@@ -232,4 +240,12 @@
     double mean_service_ms_ = 0;
 };
 
+/// Loads by priority of each service in a peer's report. Invalid ones are left out.
+std::map<core::service_id, overload::load_by_priority> loads_by_service(const load_report& report);
+
+/// Adds the loads by priority of a service to the report. Adds nothing while requests of one
+/// priority only have been seen.
+void append_priorities(const core::service_id& service, const scheduler& s, load_report& report,
+                       core::time_point now);
+
 } // namespace currantpitch::dispatch
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -278,9 +278,12 @@
     for (const dispatch::endpoint_load& l : report.value().loads) {
         loads[l.endpoint] = l.running;
     }
+    std::map<core::service_id, overload::load_by_priority> priorities =
+        dispatch::loads_by_service(report.value());
     for (const std::pair<const core::service_id, std::unique_ptr<proxy::service_state>>& entry :
          context_.services) {
-        entry.second->queue.slot_scheduler().on_peer_load(peer, loads, now);
+        entry.second->queue.slot_scheduler().on_peer_load(peer, loads, now,
+                                                          priorities[entry.first]);
         entry.second->queue.process_waiting();
     }
 }
@@ -296,6 +299,8 @@
              entry.second->queue.slot_scheduler().own_load()) {
             report.loads.push_back({load.first, load.second});
         }
+        dispatch::append_priorities(entry.first, entry.second->queue.slot_scheduler(), report,
+                                    core::runtime_clock::now());
     }
     return report;
 }
@@ -339,6 +344,7 @@
             s.queue.slot_scheduler().set_limit(s.concurrency_controller.limit());
             s.queue.process_waiting();
             s.guard.expire(now);
+            proxy::update_priority_gauges(entry.first, s, now);
         }
         context_.requests.update(now);
         core::gauge_for("requests_in_flight").set(static_cast<double>(context_.in_flight));
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -1,5 +1,6 @@
 #include "proxy/proxycontext.h"
 
+#include "core/counters.h"
 #include "core/eventlog.h"
 #include "proxy/proxyconstants.h"
 
@@ -111,4 +112,29 @@
     }
 }
 
+void update_priority_gauges(const core::service_id& service, service_state& state,
+                            core::time_point now)
+{
+    dispatch::scheduler& s = state.queue.slot_scheduler();
+    if (!s.reserve().active()) {
+        return;
+    }
+    for (const std::pair<const int, overload::priority_load>& entry : s.reserve().own_load(now)) {
+        const std::string label =
+            "service=\"" + service.str() + "\",priority=\"" + std::to_string(entry.first) + "\"";
+        core::gauge_for("priority_running", label).set(entry.second.running);
+        core::gauge_for("priority_waiting", label).set(entry.second.waiting);
+        core::gauge_for("priority_expected_slots", label).set(entry.second.expected);
+        const std::optional<overload::priority_reserve::decision> decision =
+            s.reserve_decision(entry.first, now);
+        if (decision) {
+            core::gauge_for("priority_room", label).set(decision->room ? 1 : 0);
+            core::gauge_for("priority_reserved_slots", label).set(decision->reserved);
+            core::gauge_for("priority_allowed_slots", label).set(decision->allowed);
+        }
+    }
+    core::gauge_for("gateways_sharing_slots", "service=\"" + service.str() + "\"")
+        .set(static_cast<double>(s.sharing_count(now)));
+}
+
 } // namespace currantpitch::proxy
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -113,4 +113,9 @@
     core::time_point stop_refuses_from;
 };
 
+/// Sets the gauges of the service's requests and slots by priority. No effect while requests of one
+/// priority only have been seen.
+void update_priority_gauges(const core::service_id& service, service_state& state,
+                            core::time_point now);
+
 } // namespace currantpitch::proxy
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -49,6 +49,15 @@
     core::task<void> finish_or_deliver_failure(next_step step, attempt_outcome outcome);
     core::task<void> finish(next_step step, attempt_outcome outcome);
     core::task<void> refuse(unsigned status, std::string_view reason);
+    /// Logs what the reserve decided on this request.
+    void log_reserve() const;
+    /// Priority of the caller's workspace or, if it has none, of the route.
+    int priority() const
+    {
+        return routed_.workspace != nullptr && routed_.workspace->priority
+                   ? *routed_.workspace->priority
+                   : routed_.route->priority;
+    }
     /// Time after which the caller of a request that is refused for this reason should return.
     std::chrono::milliseconds retry_after(std::string_view reason);
     /// A planned stop that begins meanwhile may end the request before its deadline.
@@ -173,9 +182,7 @@
 core::task<core::result<dispatch::work_queue::slot>> request_flow<Dialect>::acquire_slot() const
 {
     dispatch::dispatch_request slot_request;
-    slot_request.priority = routed_.workspace != nullptr && routed_.workspace->priority
-                                ? *routed_.workspace->priority
-                                : routed_.route->priority;
+    slot_request.priority = priority();
     slot_request.arrived = routed_.arrived;
     const core::duration max_wait = std::chrono::duration_cast<core::duration>(
         routed_.route->target_latency * queue_wait_fraction);
@@ -278,9 +285,30 @@
     }
     http::response answer = Dialect::write_refusal(routed_.request, r);
     co_await answer_.reply(std::move(answer));
+    if (reason == reserved_reason) {
+        log_reserve();
+    }
     log_outcome(std::to_string(status), reason);
 }
 
+template <proxy_dialect Dialect>
+void request_flow<Dialect>::log_reserve() const
+{
+    const std::optional<overload::priority_reserve::decision> d =
+        service_.queue.slot_scheduler().reserve_decision(priority(), core::runtime_clock::now());
+    core::counter_for("requests_reserved_total", "priority=\"" + std::to_string(priority()) + "\"")
+        .add();
+    if (d) {
+        core::log_event("slots_reserved")
+            .field("request", routed_.request.id)
+            .field("service", routed_.service)
+            .field("priority", priority())
+            .field("reserved", d->reserved)
+            .field("allowed", d->allowed)
+            .field("room", d->room);
+    }
+}
+
 template <proxy_dialect Dialect>
 void request_flow<Dialect>::log_attempt(const core::endpoint_id& endpoint,
                                         const attempt_outcome& outcome, next_step step) const
