Hand the leadership over before a planned stop

A leader that stopped left its switch to a successor, which led only after 1.2 s of silence; the step stayed held meanwhile.

A stopping leader plans no more, abandons a layout that is still being loaded, waits up to 2 s until its switch is released or withdrawn, and says in its heartbeat that it leaves. The next candidate claims at once. A stopping candidate that does not lead says so too.

--- a/src/rankcontrol/candidateside.h
+++ b/src/rankcontrol/candidateside.h
@@ -26,6 +26,9 @@
     /// Reads the highest term from the store, then leads when it may.
     core::task<void> run();
     bool is_leading() const { return leader_ != nullptr; }
+    /// Ends or withdraws the switch under way, ends the leadership and informs the other
+    /// candidates, so that one of them leads at once. Takes up to handover_limit.
+    core::task<void> hand_over();
 
     bool lacks_experts(const rank_state& state) const;
     bool on_direct_state(const rank_state& state, std::vector<std::vector<expert>> held);
@@ -85,6 +88,7 @@
     /// Highest term that a member of the group has obeyed or has a layout of.
     term highest_term_;
     core::time_point leading_since_;
+    bool handing_over_ = false;
     direct_reach<Port, candidate_side> direct_;
 };
 
@@ -203,8 +207,8 @@
 core::task<void> candidate_side<Store, Port>::send_claims(std::shared_ptr<session> s)
 {
     while (!s->connection->closed()) {
-        s->connection->send(
-            wire::encode(leader_claim{context_.group, leader_ ? leader_->own_term() : term{}}));
+        s->connection->send(wire::encode(leader_claim{
+            context_.group, leader_ ? leader_->own_term() : term{}, handing_over_ && !leader_}));
         co_await core::sleep_for(claim_interval);
     }
 }
@@ -258,7 +262,7 @@
         if (leader_ && current_shape != leader_->shape()) {
             end_leading("shape_changed");
         }
-        if (!leader_ && current_shape && member_.may_claim()) {
+        if (!leader_ && !handing_over_ && current_shape && member_.may_claim()) {
             co_await claim_leadership();
         }
         if (leader_) {
@@ -301,7 +305,7 @@
         co_return;
     }
     const std::optional<layout_shape> current_shape = engine_.shape();
-    if (current_shape) {
+    if (current_shape && !handing_over_) {
         begin_leading(term{fence.value().value}, *current_shape);
     }
 }
@@ -323,10 +327,37 @@
     leading_since_ = core::runtime_clock::now();
     core::counter_for("group_leaderships_total").add();
     for (const std::shared_ptr<session>& s : sessions_) {
-        s->connection->send(wire::encode(leader_claim{context_.group, own}));
+        s->connection->send(wire::encode(leader_claim{context_.group, own, false}));
     }
 }
 
+template <class Store, rank_port Port>
+core::task<void> candidate_side<Store, Port>::hand_over()
+{
+    handing_over_ = true;
+    const core::time_point begun_at = core::runtime_clock::now();
+    if (leader_) {
+        leader_->finish(begun_at);
+    }
+    while (switch_under_way() && leader_->progress().phase() != switch_phase::settling &&
+           core::runtime_clock::now() - begun_at < handover_limit) {
+        co_await core::sleep_for(leader_tick_interval);
+    }
+    if (leader_) {
+        core::counter_for("group_handovers_total").add();
+        core::log_event("group_handover")
+            .field("group", group_)
+            .field("term", leader_->own_term())
+            .field("phase", to_string(leader_->progress().phase()))
+            .field("waited_ms", core::to_milliseconds(core::runtime_clock::now() - begun_at));
+    }
+    end_leading("stopping");
+    for (const std::shared_ptr<session>& s : sessions_) {
+        s->connection->send(wire::encode(leader_claim{context_.group, term{}, true}));
+    }
+    co_await core::sleep_for(handover_send_time);
+}
+
 template <class Store, rank_port Port>
 void candidate_side<Store, Port>::tick()
 {
--- a/src/rankcontrol/groupleader.cpp
+++ b/src/rankcontrol/groupleader.cpp
@@ -90,6 +90,15 @@
     update_layout();
 }
 
+void group_leader::finish(core::time_point now)
+{
+    finishing_ = true;
+    planner_.reset();
+    const switch_phase before = switch_.phase();
+    switch_.abandon_loading(now);
+    log_phase(before);
+}
+
 void group_leader::set_direct(std::uint32_t rank, bool direct)
 {
     switch_.set_direct(rank, direct);
@@ -241,7 +250,7 @@
 {
     const bool has_demand =
         !demand_.shares().empty() && demand_.last_tokens() >= min_planning_tokens;
-    if (planner_ || !has_demand || !can_plan()) {
+    if (planner_ || finishing_ || !has_demand || !can_plan()) {
         return;
     }
     planner_costs costs = costs_;
--- a/src/rankcontrol/groupleader.h
+++ b/src/rankcontrol/groupleader.h
@@ -55,6 +55,9 @@
     /// Called periodically. Plans when the interval is over, and returns the orders to send now.
     std::vector<addressed_order> tick(core::time_point now);
 
+    /// Begins no further switch, and ends one whose layout is still being loaded.
+    void finish(core::time_point now);
+
     term own_term() const { return own_term_; }
     /// Whether a member obeys a higher term or has a layout of one. Its engine would refuse the
     /// versions of this term.
@@ -105,6 +108,7 @@
     core::duration step_time_{};
     core::step_number last_step_;
     bool deposed_ = false;
+    bool finishing_ = false;
 };
 
 } // namespace currantpitch::rankcontrol
--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -238,6 +238,14 @@
     enter(switch_phase::loading, now);
 }
 
+void layout_switch::abandon_loading(core::time_point now)
+{
+    if (phase_ == switch_phase::loading) {
+        failure_ = "abandoned";
+        enter(switch_phase::idle, now);
+    }
+}
+
 void layout_switch::withdraw(std::string_view reason, core::time_point now)
 {
     failure_ = reason;
--- a/src/rankcontrol/layoutswitch.h
+++ b/src/rankcontrol/layoutswitch.h
@@ -68,6 +68,8 @@
     /// Begins a switch. Has no effect unless can_propose() is true.
     void propose(layout next, core::time_point now);
     bool can_propose() const;
+    /// Ends a switch of which no engine has been ordered to hold a step yet.
+    void abandon_loading(core::time_point now);
     /// Returns the orders to send now, at most one for each rank.
     std::vector<addressed_order> take_orders(core::time_point now);
 
--- a/src/rankcontrol/memberside.h
+++ b/src/rankcontrol/memberside.h
@@ -66,6 +66,7 @@
     struct contact {
         core::time_point at;
         term claimed;
+        bool leaving = false;
     };
     std::map<settings::address, contact> contacts_;
     std::set<settings::address> dialled_;
@@ -130,6 +131,9 @@
         }
         const auto found = contacts_.find(candidate);
         const bool heard = found != contacts_.end();
+        if (heard && found->second.leaving) {
+            continue;
+        }
         const core::time_point heard_at = heard ? found->second.at : context_.joined_at;
         // A leader whose term is not the highest any more does not count.
         const bool may_lead = !heard || (found->second.claimed.value > 0 &&
@@ -187,6 +191,7 @@
         return;
     }
     contacts_[candidate].claimed = t;
+    contacts_[candidate].leaving = claim.leaving;
     if (t.value > 0 && context_.fence_known && t >= context_.promised) {
         context_.promise(t, candidate.address().to_string());
         context_.leader = candidate;
--- a/src/rankcontrol/rankagentnode.h
+++ b/src/rankcontrol/rankagentnode.h
@@ -57,6 +57,7 @@
     core::asio::ip::tcp::acceptor metrics_listener_;
     core::asio::ip::tcp::acceptor peer_listener_;
     core::notifier stop_;
+    bool stop_begun_ = false;
 };
 
 template <gateway::site_platform Site, rank_port Port>
@@ -98,9 +99,11 @@
     core::spawn(context_.executor, context_.standstill.run());
     core::spawn(context_.executor, engine_.run());
     core::spawn(context_.executor, candidate_.run());
-    while (!context_.stopping) {
+    while (!stop_begun_) {
         co_await stop_.wait();
     }
+    co_await candidate_.hand_over();
+    context_.stopping = true;
     core::log_event("rank_agent_stop_end").field("leads", candidate_.is_leading());
     co_return core::ok();
 }
@@ -109,7 +112,7 @@
 void rank_agent_node<Site, Port>::begin_stop(std::string_view reason)
 {
     core::log_event("rank_agent_stop_begin").field("reason", reason);
-    context_.stopping = true;
+    stop_begun_ = true;
     stop_.notify();
 }
 
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -27,6 +27,10 @@
 inline constexpr std::chrono::milliseconds standstill_limit{600};
 /// Time after a standstill in which nobody is judged silent: two claim intervals.
 inline constexpr std::chrono::milliseconds resume_time{2 * claim_interval};
+/// Time in which a stopping leader ends its switch, and in which the last frames are sent. Both
+/// together stay below the time for a planned stop, which is 3 s.
+inline constexpr std::chrono::milliseconds handover_limit{2000};
+inline constexpr std::chrono::milliseconds handover_send_time{100};
 /// Intervals at which an agent polls its engine: usually, and while the engine copies experts.
 inline constexpr std::chrono::milliseconds status_interval{120};
 inline constexpr std::chrono::milliseconds loading_status_interval{40};
--- a/src/rankcontrol/rankmessages.h
+++ b/src/rankcontrol/rankmessages.h
@@ -49,11 +49,13 @@
     static constexpr std::uint8_t type = leader_claim_type;
     core::group_id group;
     rankcontrol::term term;
+    /// Whether the candidate's process is about to end. The others need not wait for its silence.
+    bool leaving = false;
 };
 template <class Archive>
 void describe(Archive& archive, leader_claim& m)
 {
-    archive(m.group, m.term);
+    archive(m.group, m.term, m.leaving);
 }
 
 /// State of a member's engine. A member obeys no leader with a term below the promised one, which
