--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -27,6 +27,10 @@
 inline constexpr std::chrono::milliseconds standstill_limit{600};
 /// Time after a standstill in which nobody is judged silent: two claim intervals.
 inline constexpr std::chrono::milliseconds resume_time{2 * claim_interval};
+/// Time in which a stopping leader ends its switch, and in which the last frames are sent. Both
+/// together stay below the time for a planned stop, which is 3 s.
+inline constexpr std::chrono::milliseconds handover_limit{2000};
+inline constexpr std::chrono::milliseconds handover_send_time{100};
 /// Intervals at which an agent polls its engine: usually, and while the engine copies experts.
 inline constexpr std::chrono::milliseconds status_interval{120};
 inline constexpr std::chrono::milliseconds loading_status_interval{40};
@@ -56,6 +60,11 @@
 /// Steps between the current one and the first step of a new layout, in addition to the steps that
 /// arming takes.
 inline constexpr std::uint64_t min_lead_steps = 2;
+/// Least time that arming is expected to take: an order to hold and an order to arm, of which one
+/// gets no answer once and the other one twice.
+inline constexpr std::chrono::milliseconds min_arming_time{3 * engine_call_timeout};
+/// Time of a step before it is known.
+inline constexpr std::chrono::milliseconds usual_step_time{60};
 /// Maximum time that a layout is armed ahead of its switch, because demand shifts meanwhile.
 inline constexpr std::chrono::milliseconds max_lead_time{1500};
 /// Time without a status from a rank's agent after which the leader reaches the rank's engine
