Compare slow endpoints with others that have few samples; limit only large losses of throughput

Change: an endpoint counts in a reference with its largest window; a limit needs a loss of a quarter. Result: tst_capacity and tst_dispatch -g learned_slots pass.

--- a/src/capacity/slowdowntest.cpp
+++ b/src/capacity/slowdowntest.cpp
@@ -31,8 +31,12 @@
     for (std::size_t i = 0; i < window_sizes.size(); ++i) {
         std::vector<double> latencies;
         for (const window_medians& medians : endpoints) {
-            if (medians[i]) {
-                latencies.push_back(medians[i]->log_latency);
+            std::size_t available = i;
+            while (available > 0 && !medians[available]) {
+                --available;
+            }
+            if (medians[available]) {
+                latencies.push_back(medians[available]->log_latency);
             }
         }
         if (latencies.empty() || latencies.size() < min_endpoints) {
@@ -117,8 +121,8 @@
     std::sort(references.begin(), references.end());
     const double difference = differences[(count - 1) / 2];
     const double load_ratio = load_sum / low_load_sum;
-    if (difference <=
-        required_difference(std::max(tolerated_ratio, load_ratio), count, 2 * count)) {
+    if (difference <= required_difference(std::max(tolerated_ratio, throughput_loss * load_ratio),
+                                          count, 2 * count)) {
         return std::nullopt;
     }
     found.ratio = std::exp(difference);
--- a/src/capacity/slowdowntest.h
+++ b/src/capacity/slowdowntest.h
@@ -18,8 +18,9 @@
 /// window_sizes. Equal windows are compared, so that a slowdown of all endpoints cancels out.
 using reference_latencies = std::array<std::optional<double>, window_sizes.size()>;
 
-/// Takes the value below which a fraction of the endpoints' medians lie. A reference needs
-/// min_endpoints medians.
+/// An endpoint with few samples counts with its largest window: otherwise a slow endpoint with many
+/// samples would be compared with itself. Takes the value below which a fraction of the endpoints'
+/// medians lie. A reference needs min_endpoints medians.
 reference_latencies references_of(const std::vector<window_medians>& endpoints, double fraction,
                                   std::size_t min_endpoints);
 
--- a/src/capacity/tests/tst_endpointcapacities.cpp
+++ b/src/capacity/tests/tst_endpointcapacities.cpp
@@ -105,6 +105,23 @@
     LONGS_EQUAL(slots, concurrency(b));
 }
 
+// Guards against a slow endpoint that is compared with itself because the others have few samples.
+TEST(learned_capacities, few_samples_of_the_others_suffice)
+{
+    begin(1);
+    for (int i = 0; i < 7; ++i) {
+        request(b, 1);
+        request(c, 1);
+    }
+    for (int i = 0; i < 40; ++i) {
+        now += 83ms;
+        request(a, 6);
+        concurrency(a);
+    }
+    LONGS_EQUAL(1, concurrency(a));
+    LONGS_EQUAL(1, capacities->take_changes().size());
+}
+
 // Guards against a reference that moves to the slow endpoints when they are the majority.
 TEST(learned_capacities, two_slow_ones_of_three_are_reduced)
 {
--- a/src/dispatch/tests/tst_learnedslots.cpp
+++ b/src/dispatch/tests/tst_learnedslots.cpp
@@ -1,4 +1,7 @@
+#include "dispatch/dispatchmessages.h"
 #include "dispatch/scheduler.h"
+#include "wire/packer.h"
+#include "wire/unpacker.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -269,6 +272,16 @@
     CHECK(c.on > c.off - 0.02);
 }
 
+// Guards against endpoints that are driven to loads at which they serve much less.
+TEST(learned_slots, a_collapse_under_load_is_milder)
+{
+    pattern.requests_per_second = 100;
+    pattern.saturation = 2;
+    pattern.saturation_power = 2;
+    const comparison c = compare("latency (n/2)^2 x from 2 of 6 on, 100 requests/s", pattern);
+    CHECK(c.on > c.off);
+}
+
 // Guards against limits that cost more than the loads at which endpoints serve less.
 TEST(learned_slots, falling_throughput_costs_nothing)
 {
@@ -294,6 +307,30 @@
     CHECK(c.on > c.off - 0.005);
 }
 
+// Guards against samples that are lost or changed on their way to a peer, and against large
+// reports.
+TEST(learned_slots, samples_ride_on_the_load_report)
+{
+    dispatch::load_report report;
+    report.loads = {{core::endpoint_id("a"), 3}};
+    const std::size_t plain_size = wire::encode(report).size();
+    report.samples = {{core::endpoint_id("a"), {7}, {{2, 30500us, 120ms}, {1, 0us, 0ms}}}};
+    const std::string payload = wire::encode(report);
+    CHECK(payload.size() < plain_size + 40);
+    wire::unpacker unpacker(payload);
+    unpacker.get_array();
+    std::uint8_t type = 0;
+    unpacker.get(type);
+    dispatch::load_report received;
+    unpacker.get(received);
+    CHECK(unpacker.good());
+    const capacity::endpoint_samples& samples = received.samples.at(0);
+    CHECK(samples.incarnation == core::incarnation{7});
+    LONGS_EQUAL(2, samples.samples.at(0).load);
+    CHECK(samples.samples.at(0).latency == 30500us && samples.samples.at(0).age == 120ms);
+    CHECK(samples.samples.at(1).latency == 0us);
+}
+
 // Guards against a changed choice of endpoints where capacity is not learned.
 TEST(learned_slots, without_learning_the_samples_of_peers_change_nothing)
 {
