--- a/src/capacity/tests/tst_endpointcapacities.cpp
+++ b/src/capacity/tests/tst_endpointcapacities.cpp
@@ -328,6 +328,18 @@
     LONGS_EQUAL(0, capacities->take_changes().size());
 }
 
+// Guards against holding the load of a rank responsible for a latency of the whole group.
+TEST(learned_capacities, in_a_group_the_load_limits_nothing)
+{
+    begin(1, true);
+    for (int i = 0; i < 60; ++i) {
+        run(83ms, 1, 1, 1, 1);
+        run(83ms, 1, 1, 1, 2);
+        run(83ms, 5, 5, 5, 5);
+    }
+    check_all_full();
+}
+
 // Guards against holding one rank responsible for a pass that all ranks execute together.
 TEST(learned_capacities, in_a_group_only_the_excess_over_the_median_counts)
 {
