--- a/src/capacity/capacityconstants.h
+++ b/src/capacity/capacityconstants.h
@@ -60,8 +60,8 @@
 /// Number of samples at high loads that are compared with those at low loads.
 inline constexpr std::size_t min_saturation_window = 12;
 inline constexpr std::size_t max_saturation_window = 48;
-/// Factor by which the throughput must fall. A limit that the entries keep with knowledge of the load
-/// that is 100 ms old costs more than a smaller loss.
+/// Factor by which the throughput must fall. A limit that the entries keep with knowledge of the
+/// load that is 100 ms old costs more than a smaller loss.
 inline constexpr double throughput_loss = 1.25;
 /// Requests above the load at which the latency begins to rise that are still allowed, as a factor.
 inline constexpr double saturation_headroom = 1.25;
