Let requests wait for a service whose group re-forms

A rank that crashes takes its group down for seconds. Meanwhile all endpoints refuse, and harmless requests got endpoint_refused at once, although their callers stay for two seconds or more before the first event.

overload::outage finds that a service is down: two endpoints refuse and no stream has had an event for 150 ms. Requests then wait if the end is expected while their callers stay, learned from earlier outages; one of them probes every 250 ms, the most urgent first. Otherwise they are refused at once with a retry delay behind the expected end, spread over 500 ms. Arrivals are counted when requests come, not when they ask for a slot, so that an outage does not look like a burst.

--- a/src/dispatch/workqueue.cpp
+++ b/src/dispatch/workqueue.cpp
@@ -46,9 +46,6 @@
     if (!slot_scheduler_.has_candidate(request)) {
         co_return error{errc::unavailable, "no endpoint"};
     }
-    if (request.excluded.empty()) {
-        slot_scheduler_.on_arrival(request.priority, core::runtime_clock::now());
-    }
     if (slot_scheduler_.waiting() == 0 || !request.excluded.empty()) {
         const std::optional<core::endpoint_id> endpoint = co_await start_now(request);
         if (endpoint) {
--- a/src/overload/overloadconstants.h
+++ b/src/overload/overloadconstants.h
@@ -23,4 +23,23 @@
 /// request is refused without waiting.
 inline constexpr double release_margin = 2.0;
 
+/// Time without an event of any stream after which a service whose endpoints refuse requests is
+/// down. Engines send an event in each step, which takes up to 85 ms under load.
+inline constexpr std::chrono::milliseconds max_progress_pause{150};
+/// Interval at which one request of a gateway probes a service that is down.
+inline constexpr std::chrono::milliseconds probe_interval{250};
+/// Expected duration of the first outage, and the bounds of the durations that are taken into
+/// account. A group of engines re-forms in 1.5 to 4 s.
+inline constexpr std::chrono::milliseconds initial_outage{2500};
+inline constexpr std::chrono::milliseconds min_outage{500};
+inline constexpr std::chrono::milliseconds max_outage{4000};
+/// Time within which the callers that were refused during an outage return.
+inline constexpr std::chrono::milliseconds return_spread{500};
+/// Callers abandon a stream before its first event after this time or this many times the target
+/// latency, whichever is longer.
+inline constexpr std::chrono::milliseconds min_patience{2000};
+inline constexpr int patience_in_targets = 4;
+/// Time that remains for the first event after a wait.
+inline constexpr std::chrono::milliseconds patience_margin{250};
+
 } // namespace currantpitch::overload
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -290,6 +290,13 @@
                 outcome.result = attempt_result::not_run;
                 outcome.reason = "endpoint_refused";
                 outcome.work = dispatch::work_outcome::refused;
+                // An endpoint that limits its requests or leaves, or that the request was not meant
+                // for, says nothing about the others.
+                const bool own_reason = metadata.quiet_time || metadata.request_limit ||
+                                        metadata.leaving || head.value().status == 421;
+                if (stream() && !own_reason) {
+                    service_.outage.on_refused(record.endpoint, last_activity_);
+                }
             }
             else if (!metadata.genuine) {
                 outcome.reason = "answer_not_genuine";
@@ -312,6 +319,7 @@
                 outcome.answer_share = std::move(share);
                 head_received_ = true;
                 on_progress();
+                service_.on_progress(record.service, last_activity_);
             }
         }
         const bool reuse =
@@ -393,6 +401,7 @@
         on_progress();
         last_activity_ = now;
         service_.last_progress = now;
+        service_.on_progress(routed_.service, now);
         if (last_event_time != core::time_point{}) {
             service_.concurrency_controller.observe(now - last_event_time,
                                                     routed_.route->target_gap, now);
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -20,6 +20,13 @@
 inline constexpr std::string_view endpoints_limited_reason = "endpoints_limited";
 /// Reason of a refusal because the remaining slots are kept for more urgent requests.
 inline constexpr std::string_view reserved_reason = "reserved";
+/// Reason of a refusal because all endpoints of the service refuse requests and are not expected to
+/// accept them again while the caller waits.
+inline constexpr std::string_view outage_reason = "outage";
+/// Interval at which a request that waits for the end of an outage checks whether it may go on.
+inline constexpr std::chrono::milliseconds outage_check_interval{50};
+/// The same after the end, while more urgent requests go first.
+inline constexpr std::chrono::milliseconds outage_order_interval{2};
 /// Timeout of the connection that shows whether an endpoint that broke off has crashed. One that
 /// has ended refuses it at once.
 inline constexpr std::chrono::milliseconds crash_check_timeout{200};
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -6,6 +6,32 @@
 
 namespace currantpitch::proxy {
 
+void service_state::on_progress(const core::service_id& service, core::time_point now)
+{
+    const std::optional<core::duration> lasted = outage.on_progress(now);
+    if (!lasted) {
+        return;
+    }
+    if (std::exchange(outage_logged, false)) {
+        core::log_event("outage_end")
+            .field("service", service)
+            .field("lasted_ms", core::to_milliseconds(*lasted))
+            .field("waiting", outage.waiting());
+    }
+    outage_change.notify();
+}
+
+void service_state::on_outage(const core::service_id& service, core::time_point now)
+{
+    if (std::exchange(outage_logged, true)) {
+        return;
+    }
+    core::counter_for("outages_total").add();
+    core::log_event("outage", core::log_event::level::warning)
+        .field("service", service)
+        .field("expected_ms", core::to_milliseconds(outage.expected_end(now) - now));
+}
+
 service_state& proxy_context::service(const core::service_id& name)
 {
     std::unique_ptr<service_state>& state = services[name];
@@ -13,7 +39,8 @@
         state = std::make_unique<service_state>(
             executor, dispatch::scheduler(own_domain, true, random()),
             admission::retry_window(bounds.retries, started_at), 0,
-            part_guard(name, [this](const admission::part_report& r) { publish_part_report(r); }));
+            part_guard(name, [this](const admission::part_report& r) { publish_part_report(r); }),
+            random());
         state->retries.set_process_count(process_count);
         state->queue.slot_scheduler().set_process_count(process_count);
         state->queue.slot_scheduler().set_signals(signals);
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -6,6 +6,7 @@
 #include "directory/endpointdirectory.h"
 #include "dispatch/concurrencycontroller.h"
 #include "dispatch/workqueue.h"
+#include "overload/outage.h"
 #include "proxy/answermemory.h"
 #include "proxy/connectionpool.h"
 #include "proxy/partguard.h"
@@ -23,16 +24,27 @@
 /// State that an entry keeps for one service.
 struct service_state {
     service_state(const core::asio::any_io_executor& executor, dispatch::scheduler slot_scheduler,
-                  admission::retry_window allowance, unsigned engine_concurrency, part_guard parts)
+                  admission::retry_window allowance, unsigned engine_concurrency, part_guard parts,
+                  std::uint64_t seed)
         : queue(executor, std::move(slot_scheduler)), retries(allowance),
-          concurrency_controller(engine_concurrency), guard(std::move(parts))
+          concurrency_controller(engine_concurrency), guard(std::move(parts)), outage(seed),
+          outage_change(executor)
     {
     }
 
+    /// Records an event of a stream or an answer, which ends an outage.
+    void on_progress(const core::service_id& service, core::time_point now);
+    /// Logs an outage when the first request waits for its end.
+    void on_outage(const core::service_id& service, core::time_point now);
+
     dispatch::work_queue queue;
     admission::retry_window retries;
     dispatch::concurrency_controller concurrency_controller;
     part_guard guard;
+    overload::outage outage;
+    /// Notified when an outage ends.
+    core::notifier outage_change;
+    bool outage_logged = false;
     /// Time of the last event of any of the service's streams.
     core::time_point last_progress;
     /// Number of streams that are at an endpoint.
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -20,7 +20,8 @@
           suspicion_(context.requests, service_.guard, routed_),
           deadline_(routed_.arrived +
                     std::min(routed_.request.timeout, routed_.route->timeout - answer_margin)),
-          answer_(caller, routed_.request.last_event_id, routed_.arrived)
+          answer_(caller, routed_.request.last_event_id, routed_.arrived),
+          ready_at_(routed_.arrived)
     {
     }
 
@@ -32,6 +33,11 @@
     static std::string_view reason_without_slot(core::errc code);
     using slot_result = core::result<dispatch::work_queue::slot>;
 
+    /// Waits while the service is down as a whole. Returns false if it is not expected back while
+    /// the caller stays.
+    core::task<bool> wait_for_service();
+    /// Time at which the caller gives the request up.
+    core::time_point caller_leaves_at() const;
     /// Returns the slot that was acquired during the last attempt, or acquires one.
     core::task<slot_result> take_slot();
     core::task<slot_result> acquire_slot() const;
@@ -81,18 +87,37 @@
     std::optional<dispatch::work_queue::slot> next_slot_;
     core::time_point attempt_started_at_;
     core::duration queue_time_{};
+    /// Time at which the request could begin to wait for a slot.
+    core::time_point ready_at_;
+    /// Counts a request that waits for the end of an outage, also if its task is cancelled.
+    struct outage_wait {
+        overload::outage& outage;
+        int priority;
+        outage_wait(overload::outage& o, int p) : outage(o), priority(p)
+        {
+            outage.on_waiting(priority, 1);
+        }
+        outage_wait(const outage_wait&) = delete;
+        outage_wait& operator=(const outage_wait&) = delete;
+        ~outage_wait() { outage.on_waiting(priority, -1); }
+    };
 };
 
 template <proxy_dialect Dialect>
 core::task<void> request_flow<Dialect>::run()
 {
     service_.retries.on_request(routed_.arrived);
+    service_.queue.slot_scheduler().on_arrival(priority(), routed_.arrived);
     while (true) {
         const std::string_view suspicion = suspicion_.refusal_reason();
         if (!suspicion.empty()) {
             co_await end_without_attempt(suspicion);
             co_return;
         }
+        if (!next_slot_ && !co_await wait_for_service()) {
+            co_await end_without_attempt(outage_reason);
+            co_return;
+        }
         slot_result acquired = co_await take_slot();
         if (!acquired) {
             co_await end_without_attempt(reason_without_slot(acquired.error().code));
@@ -153,6 +178,58 @@
                                        std::move(no_attempt));
 }
 
+template <proxy_dialect Dialect>
+core::time_point request_flow<Dialect>::caller_leaves_at() const
+{
+    const core::time_point end = deadline() - min_time_left;
+    return answer_.begun()
+               ? end
+               : std::min(end, routed_.arrived +
+                                   overload::outage::patience(routed_.route->target_latency));
+}
+
+template <proxy_dialect Dialect>
+core::task<bool> request_flow<Dialect>::wait_for_service()
+{
+    overload::outage& outage = service_.outage;
+    if (!routes::is_stream(routed_.route->retry) || !outage.suspected()) {
+        co_return true;
+    }
+    const core::time_point began_at = core::runtime_clock::now();
+    const core::time_point leaves_at = caller_leaves_at();
+    bool waits = true;
+    {
+        const outage_wait registered(outage, priority());
+        while (outage.suspected()) {
+            const core::time_point now = core::runtime_clock::now();
+            if (!outage.down(now)) {
+                if (attempts_ == 0) {
+                    co_return true;
+                }
+                co_await service_.outage_change.wait_until(
+                    std::min(outage.confirmed_at(), now + outage_check_interval));
+                continue;
+            }
+            service_.on_outage(routed_.service, now);
+            if (outage.try_probe(priority(), now)) {
+                break;
+            }
+            if (outage.expected_end(now) > leaves_at) {
+                waits = false;
+                break;
+            }
+            co_await service_.outage_change.wait_until(now + outage_check_interval);
+        }
+    }
+    while (waits && !outage.suspected() && outage.more_urgent_waits(priority()) &&
+           core::runtime_clock::now() < leaves_at) {
+        co_await core::sleep_for(outage_order_interval);
+    }
+    ready_at_ = core::runtime_clock::now();
+    queue_time_ += ready_at_ - began_at;
+    co_return waits;
+}
+
 template <proxy_dialect Dialect>
 core::task<core::result<dispatch::work_queue::slot>> request_flow<Dialect>::take_slot()
 {
@@ -188,7 +265,7 @@
         routed_.route->target_latency * queue_wait_fraction);
     const core::time_point now = core::runtime_clock::now();
     slot_request.deadline =
-        std::min((attempts_ == 0 ? routed_.arrived : now) + max_wait, deadline() - min_time_left);
+        std::min((attempts_ == 0 ? ready_at_ : now) + max_wait, deadline() - min_time_left);
     slot_request.excluded = tried_endpoints_;
     co_return co_await service_.queue.acquire_slot(slot_request);
 }
@@ -270,8 +347,12 @@
     if (reason == part_suspected_reason || reason == request_suspected_reason) {
         return suspicion_.retry_after(reason);
     }
+    const core::time_point now = core::runtime_clock::now();
+    if (routes::is_stream(routed_.route->retry) && service_.outage.down(now)) {
+        return service_.outage.retry_after(now);
+    }
     if (reason == endpoints_limited_reason) {
-        return service_.queue.slot_scheduler().retry_after_limit(core::runtime_clock::now());
+        return service_.queue.slot_scheduler().retry_after_limit(now);
     }
     return service_.queue.slot_scheduler().retry_after();
 }
