--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -228,6 +228,11 @@
     call.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
         deadline() - core::runtime_clock::now());
     call.last_event_id = answer_.events().last_id();
+    const routes::service_profile* const profile = routed_.table->find_service(routed_.service);
+    if (profile != nullptr && profile->engine &&
+        routed_.table->priorities_differ(routed_.service)) {
+        call.priority = routed_.priority();
+    }
     sent_at_ = core::runtime_clock::now();
     http::request message = Dialect::make_endpoint_request(routed_.request, call);
     const core::result<void> sent =
--- a/src/proxy/proxymessages.h
+++ b/src/proxy/proxymessages.h
@@ -38,6 +38,9 @@
     std::optional<core::workspace_id> workspace;
     std::chrono::milliseconds time_left{};
     std::optional<std::uint64_t> last_event_id;
+    /// Priority of the request, 0 is the most urgent. Only for engines of a service whose
+    /// routes differ in it.
+    std::optional<int> priority;
 };
 
 /// Metadata from the head of an endpoint's answer.
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -57,13 +57,6 @@
     core::task<void> refuse(unsigned status, std::string_view reason);
     /// Logs what the reserve decided on this request.
     void log_reserve() const;
-    /// Priority of the caller's workspace or, if it has none, of the route.
-    int priority() const
-    {
-        return routed_.workspace != nullptr && routed_.workspace->priority
-                   ? *routed_.workspace->priority
-                   : routed_.route->priority;
-    }
     /// Time after which the caller of a request that is refused for this reason should return.
     std::chrono::milliseconds retry_after(std::string_view reason);
     /// A planned stop that begins meanwhile may end the request before its deadline.
@@ -107,7 +100,7 @@
 core::task<void> request_flow<Dialect>::run()
 {
     service_.retries.on_request(routed_.arrived);
-    service_.queue.slot_scheduler().on_arrival(priority(), routed_.arrived);
+    service_.queue.slot_scheduler().on_arrival(routed_.priority(), routed_.arrived);
     while (true) {
         const std::string_view suspicion = suspicion_.refusal_reason();
         if (!suspicion.empty()) {
@@ -199,7 +192,7 @@
     const core::time_point leaves_at = caller_leaves_at();
     bool waits = true;
     {
-        const outage_wait registered(outage, priority());
+        const outage_wait registered(outage, routed_.priority());
         while (outage.suspected()) {
             const core::time_point now = core::runtime_clock::now();
             if (!outage.down(now)) {
@@ -211,7 +204,7 @@
                 continue;
             }
             service_.on_outage(routed_.service, now);
-            if (outage.try_probe(priority(), now)) {
+            if (outage.try_probe(routed_.priority(), now)) {
                 break;
             }
             if (outage.expected_end(now) > leaves_at) {
@@ -221,7 +214,7 @@
             co_await service_.outage_change.wait_until(now + outage_check_interval);
         }
     }
-    while (waits && !outage.suspected() && outage.more_urgent_waits(priority()) &&
+    while (waits && !outage.suspected() && outage.more_urgent_waits(routed_.priority()) &&
            core::runtime_clock::now() < leaves_at) {
         co_await core::sleep_for(outage_order_interval);
     }
@@ -259,7 +252,7 @@
 core::task<core::result<dispatch::work_queue::slot>> request_flow<Dialect>::acquire_slot() const
 {
     dispatch::dispatch_request slot_request;
-    slot_request.priority = priority();
+    slot_request.priority = routed_.priority();
     slot_request.arrived = routed_.arrived;
     const core::duration max_wait = std::chrono::duration_cast<core::duration>(
         routed_.route->target_latency * queue_wait_fraction);
@@ -376,14 +369,16 @@
 void request_flow<Dialect>::log_reserve() const
 {
     const std::optional<overload::priority_reserve::decision> d =
-        service_.queue.slot_scheduler().reserve_decision(priority(), core::runtime_clock::now());
-    core::counter_for("requests_reserved_total", "priority=\"" + std::to_string(priority()) + "\"")
+        service_.queue.slot_scheduler().reserve_decision(routed_.priority(),
+                                                         core::runtime_clock::now());
+    core::counter_for("requests_reserved_total",
+                      "priority=\"" + std::to_string(routed_.priority()) + "\"")
         .add();
     if (d) {
         core::log_event("slots_reserved")
             .field("request", routed_.request.id)
             .field("service", routed_.service)
-            .field("priority", priority())
+            .field("priority", routed_.priority())
             .field("reserved", d->reserved)
             .field("allowed", d->allowed)
             .field("room", d->room);
--- a/src/proxy/routedrequest.h
+++ b/src/proxy/routedrequest.h
@@ -20,6 +20,12 @@
     core::service_id service;
     core::time_point arrived;
     core::duration configuration_age{};
+
+    /// Priority of the caller's workspace or, if it has none, of the route.
+    int priority() const
+    {
+        return workspace != nullptr && workspace->priority ? *workspace->priority : route->priority;
+    }
 };
 
 } // namespace currantpitch::proxy
--- a/src/routes/routetable.cpp
+++ b/src/routes/routetable.cpp
@@ -49,8 +49,14 @@
 
 route_table::route_table(configuration accepted) : accepted_(std::move(accepted))
 {
+    std::unordered_map<core::service_id, int> first_priority;
     for (const route& r : accepted_.routes) {
         by_host_[to_lower_case(r.host)].emplace(r.path_prefix, &r);
+        for (const weighted_service& s : r.services) {
+            if (first_priority.emplace(s.service, r.priority).first->second != r.priority) {
+                mixed_priorities_.insert(s.service);
+            }
+        }
     }
     for (const workspace& w : accepted_.workspaces) {
         for (const std::string& key : w.keys) {
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace currantpitch::routes {
@@ -131,6 +132,11 @@
     const route* match(std::string_view host, std::string_view path) const;
     /// Returns the workspace that the key belongs to, or nullptr when the key is unknown.
     const workspace* workspace_of_key(const std::string& key) const;
+    /// Whether routes of the service differ in priority.
+    bool priorities_differ(const core::service_id& service) const
+    {
+        return mixed_priorities_.contains(service);
+    }
     /// Returns nullptr when the service is unknown.
     const service_profile* find_service(const core::service_id& service) const;
 
@@ -139,6 +145,7 @@
     std::unordered_map<std::string, std::map<std::string, const route*, std::less<>>> by_host_;
     std::unordered_map<std::string, const workspace*> by_key_;
     std::unordered_map<core::service_id, const service_profile*> by_service_;
+    std::unordered_set<core::service_id> mixed_priorities_;
 };
 
 /// Chooses one of the route's services by weight. The sample is a uniform random number from 0
--- a/src/routes/tests/tst_routes.cpp
+++ b/src/routes/tests/tst_routes.cpp
@@ -63,6 +63,26 @@
     CHECK(table.workspace_of_key("k3") == nullptr);
 }
 
+// Engines get priorities only where they make a difference.
+TEST(route_tables, services_whose_routes_differ_in_priority_are_known)
+{
+    routes::configuration c;
+    const core::service_id mixed("mixed");
+    const core::service_id alike("alike");
+    for (const int priority : {1, 1, 2}) {
+        routes::route r;
+        r.priority = priority;
+        r.services = {{mixed, 1}};
+        if (priority == 1) {
+            r.services.push_back({alike, 1});
+        }
+        c.routes.push_back(r);
+    }
+    const routes::route_table table(c);
+    CHECK(table.priorities_differ(mixed));
+    CHECK(!table.priorities_differ(alike));
+}
+
 TEST(route_tables, services_are_chosen_by_weight)
 {
     const routes::route r = route_for("/");
