--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -254,6 +254,11 @@
     call.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
         deadline() - core::runtime_clock::now());
     call.last_event_id = answer_.events().last_id();
+    const routes::service_profile* const profile = routed_.table->find_service(routed_.service);
+    if (profile != nullptr && profile->engine &&
+        routed_.table->priorities_differ(routed_.service)) {
+        call.priority = routed_.priority();
+    }
     sent_at_ = core::runtime_clock::now();
     http::request message = Dialect::make_endpoint_request(routed_.request, call);
     const core::result<void> sent =
@@ -316,6 +321,13 @@
                 outcome.result = attempt_result::not_run;
                 outcome.reason = "endpoint_refused";
                 outcome.work = dispatch::work_outcome::refused;
+                // An endpoint that limits its requests or leaves, or that the request was not meant
+                // for, says nothing about the others.
+                const bool own_reason = metadata.quiet_time || metadata.request_limit ||
+                                        metadata.leaving || head.value().status == 421;
+                if (stream() && !own_reason) {
+                    service_.outage.on_refused(record.endpoint, last_activity_);
+                }
             }
             else if (!metadata.genuine) {
                 outcome.reason = "answer_not_genuine";
@@ -338,6 +350,7 @@
                 outcome.answer_share = std::move(share);
                 head_received_ = true;
                 on_progress();
+                service_.on_progress(record.service, last_activity_);
             }
         }
         const bool reuse =
@@ -419,6 +432,7 @@
         on_progress();
         last_activity_ = now;
         service_.last_progress = now;
+        service_.on_progress(routed_.service, now);
         if (last_event_time != core::time_point{}) {
             service_.concurrency_controller.observe(now - last_event_time,
                                                     routed_.route->target_gap, now);
