--- a/bench/decisions/limitsbench.cpp
+++ b/bench/decisions/limitsbench.cpp
@@ -136,10 +136,8 @@
         }
         e.signals.on_answer({endpoint, core::incarnation{1}, per_second_, false, {}, start_time},
                             start_time);
-        e.signals.ask_for_permit = [this, i](const core::endpoint_id&, double limit,
-                                             std::chrono::milliseconds max_wait) {
-            const backpressure::permit_source source =
-                entries_[i]->broker.request(endpoint, limit, max_wait, now_);
+        e.signals.ask_for_permit = [this, i](const backpressure::permit_request& request) {
+            const backpressure::permit_source source = entries_[i]->broker.request(request, now_);
             if (source.owner) {
                 send({i, std::stoul(source.owner->str().substr(2)), std::nullopt});
             }
@@ -166,9 +164,11 @@
                 use_permit(m.to);
             }
             else {
-                send({m.to, m.from,
-                      entries_[m.to]->broker.grant(endpoint, per_second_, backpressure::permit_wait,
-                                                   now_)});
+                backpressure::permit_request request;
+                request.endpoint = endpoint;
+                request.per_second = per_second_;
+                request.max_wait = backpressure::permit_wait;
+                send({m.to, m.from, entries_[m.to]->broker.grant(request, now_)});
             }
         }
     }
--- a/src/backpressure/backpressureconstants.h
+++ b/src/backpressure/backpressureconstants.h
@@ -31,6 +31,22 @@
 inline constexpr std::chrono::seconds max_quiet_time{60};
 /// Time for which what an endpoint has said is kept while the endpoint is not registered.
 inline constexpr std::chrono::seconds unregistered_signal_lifetime{30};
+/// Time for which a permit of a cold endpoint is valid, and again the time after its use within
+/// which the request must be written. The bound holds within one second, so that permits that are
+/// used late count in another second than the one they were issued for.
+inline constexpr std::chrono::milliseconds cold_permit_lifetime{200};
+/// Fraction of the bound on the requests to a cold endpoint that single entries use without asking.
+inline constexpr double cold_own_fraction = 0.2;
+/// Upper bound on the time for which an endpoint counts as cold without being reported again.
+inline constexpr std::chrono::minutes max_cold_time{10};
+/// Time for which the list of entries must not grow after the start of a new entry before the entry
+/// issues permits of cold endpoints. Entries that start together do not all know each other at
+/// first.
+inline constexpr std::chrono::milliseconds roster_settling_time{2000};
+/// Interruption of the process after which others may have taken over its endpoints' permits, and
+/// time for which it then issues none for all entries.
+inline constexpr std::chrono::milliseconds max_interruption{700};
+inline constexpr std::chrono::milliseconds interruption_recovery{1000};
 /// Maximum number of endpoints in one report to a peer.
 inline constexpr std::size_t max_reported_signals = 1000;
 
--- a/src/backpressure/backpressuremessages.h
+++ b/src/backpressure/backpressuremessages.h
@@ -26,11 +26,16 @@
     bool leaving = false;
     /// Time from the sending of the answered request until the report was sent.
     std::chrono::milliseconds asked_ago{};
+    /// Remaining time for which the endpoint is cold, and requests per second that it accepts
+    /// meanwhile. Zero when it is not known to be cold.
+    std::chrono::milliseconds cold_for{};
+    double cold_per_second = 0;
 };
 template <class Archive>
 void describe(Archive& archive, reported_signal& m)
 {
-    archive(m.endpoint, m.incarnation, m.per_second, m.leaving, m.asked_ago);
+    archive(m.endpoint, m.incarnation, m.per_second, m.leaving, m.asked_ago, m.cold_for,
+            m.cold_per_second);
 }
 
 /// What an entry has learned from answers of endpoints. Sent to the other entries when it changes,
@@ -53,11 +58,19 @@
     double per_second = 0;
     /// Time within which the permit must start.
     std::chrono::milliseconds max_wait{};
+    core::incarnation incarnation;
+    /// Remaining time for which the endpoint is cold, as known to the sender.
+    std::chrono::milliseconds cold_for{};
+    /// Identifies the request among those of the sender.
+    std::uint64_t number = 0;
+    /// The sender does not know that the endpoint is cold, but that it may be.
+    bool cold_assumed = false;
 };
 template <class Archive>
 void describe(Archive& archive, permit_request& m)
 {
-    archive(m.endpoint, m.per_second, m.max_wait);
+    archive(m.endpoint, m.per_second, m.max_wait, m.incarnation, m.cold_for, m.number,
+            m.cold_assumed);
 }
 
 /// Answers a permit_request.
@@ -67,11 +80,13 @@
     bool granted = false;
     /// Time after which the permit is valid or, if none is granted, after which to ask again.
     std::chrono::milliseconds starts_in{};
+    /// Number of the request.
+    std::uint64_t number = 0;
 };
 template <class Archive>
 void describe(Archive& archive, permit_offer& m)
 {
-    archive(m.endpoint, m.granted, m.starts_in);
+    archive(m.endpoint, m.granted, m.starts_in, m.number);
 }
 
 } // namespace currantpitch::backpressure
--- a/src/backpressure/entrygroup.cpp
+++ b/src/backpressure/entrygroup.cpp
@@ -7,8 +7,17 @@
 
 namespace currantpitch::backpressure {
 
+namespace {
+
+/// Distinguishes the order of the parts from the order of the owners.
+constexpr std::uint64_t part_order_seed = 1;
+
+} // namespace
+
 void entry_group::set_registered(const std::set<core::host_id>& hosts, core::time_point now)
 {
+    update_settled(hosts, now);
+    preceding_.clear();
     std::erase_if(absent_since_,
                   [&hosts](const std::pair<const core::host_id, core::time_point>& entry) {
                       return !hosts.contains(entry.first);
@@ -20,8 +29,21 @@
     }
 }
 
+void entry_group::update_settled(const std::set<core::host_id>& hosts, core::time_point now)
+{
+    const bool grown = hosts.size() > listed_count_;
+    if (!settled(now) && hosts.contains(self_) && (!settled_at_ || grown)) {
+        settled_at_ = listed_ ? now + roster_settling_time : now;
+    }
+    listed_ = true;
+    listed_count_ = hosts.size();
+}
+
 void entry_group::on_peer_up(const core::host_id& peer)
 {
+    if (!absent_since_.contains(peer)) {
+        preceding_.clear();
+    }
     reachable_.insert(peer);
     absent_since_.erase(peer);
 }
@@ -68,4 +90,29 @@
     return 1.0 / static_cast<double>(size());
 }
 
+bool entry_group::holds_part(const core::endpoint_id& endpoint, std::size_t parts) const
+{
+    if (parts >= size()) {
+        return true;
+    }
+    auto found = preceding_.find(endpoint);
+    if (found == preceding_.end()) {
+        const std::uint64_t key = core::hash64(endpoint.str(), part_order_seed);
+        const auto weight = [key](const core::host_id& host) {
+            return core::combine_hashes(key, core::hash64(host.str(), part_order_seed));
+        };
+        const std::uint64_t own = weight(self_);
+        const auto precedes = [&](const core::host_id& host) {
+            return weight(host) > own;
+        };
+        std::size_t preceding =
+            static_cast<std::size_t>(std::count_if(reachable_.begin(), reachable_.end(), precedes));
+        for (const std::pair<const core::host_id, core::time_point>& absent : absent_since_) {
+            preceding += precedes(absent.first) ? 1 : 0;
+        }
+        found = preceding_.emplace(endpoint, preceding).first;
+    }
+    return found->second < parts;
+}
+
 } // namespace currantpitch::backpressure
--- a/src/backpressure/permitissuer.cpp
+++ b/src/backpressure/permitissuer.cpp
@@ -1,14 +1,12 @@
 #include "backpressure/permitissuer.h"
 
-#include "backpressure/backpressureconstants.h"
-
 #include <algorithm>
 
 namespace currantpitch::backpressure {
 
 permit_offer permit_issuer::issue(const core::endpoint_id& endpoint, double per_second,
                                   std::chrono::milliseconds max_wait,
-                                  core::time_point issuing_since, core::time_point now)
+                                  core::time_point issuing_since, core::time_point now, int burst)
 {
     // A schedule that is as far behind as the longest burst is the same as a new one.
     std::erase_if(schedules_, [now](const std::pair<const core::endpoint_id, schedule>& entry) {
@@ -17,7 +15,7 @@
     });
     const core::duration interval =
         std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(1 / per_second));
-    const core::time_point burst_start = now - (max_permit_burst - 1) * interval;
+    const core::time_point burst_start = now - (burst - 1) * interval;
     schedule& s =
         schedules_.try_emplace(endpoint, schedule{burst_start, interval, 0}).first->second;
     s.interval = interval;
@@ -40,4 +38,11 @@
     return offer;
 }
 
+core::time_point permit_issuer::next_start(const core::endpoint_id& endpoint,
+                                           core::time_point now) const
+{
+    const auto found = schedules_.find(endpoint);
+    return found == schedules_.end() ? now : std::max(found->second.next_start, now);
+}
+
 } // namespace currantpitch::backpressure
--- a/src/backpressure/tests/tst_sharedlimits.cpp
+++ b/src/backpressure/tests/tst_sharedlimits.cpp
@@ -43,9 +43,8 @@
             e.broker.set_registered(hosts, now_);
             e.signals.on_answer({endpoint, core::incarnation{1}, per_second, false, {}, now_},
                                 now_);
-            e.signals.ask_for_permit = [this, i](const core::endpoint_id&, double limit,
-                                                 std::chrono::milliseconds max_wait) {
-                ask(i, limit, max_wait);
+            e.signals.ask_for_permit = [this, i](const backpressure::permit_request& request) {
+                ask(i, request);
             };
             for (std::size_t k = 0; k < entries; ++k) {
                 if (k != i) {
@@ -126,8 +125,7 @@
     struct message {
         std::size_t from = 0;
         std::size_t to = 0;
-        std::optional<double> asked;
-        std::chrono::milliseconds max_wait{};
+        std::optional<backpressure::permit_request> asked;
         backpressure::permit_offer offer;
         core::time_point due;
     };
@@ -145,12 +143,11 @@
                            });
     }
 
-    void ask(std::size_t i, double limit, std::chrono::milliseconds max_wait)
+    void ask(std::size_t i, const backpressure::permit_request& request)
     {
-        const backpressure::permit_source source =
-            entries_[i]->broker.request(endpoint, limit, max_wait, now_);
+        const backpressure::permit_source source = entries_[i]->broker.request(request, now_);
         if (source.owner) {
-            send({i, index_of(*source.owner), limit, max_wait, {}, {}});
+            send({i, index_of(*source.owner), request, {}, {}});
         }
         if (source.own_offer) {
             entries_[i]->signals.on_offer(*source.own_offer, now_);
@@ -178,8 +175,8 @@
             }
             if (m.asked) {
                 const backpressure::permit_offer offer =
-                    entries_[m.to]->broker.grant(endpoint, *m.asked, m.max_wait, now_);
-                send({m.to, m.from, std::nullopt, {}, offer, {}});
+                    entries_[m.to]->broker.grant(*m.asked, now_);
+                send({m.to, m.from, std::nullopt, offer, {}});
             }
             else {
                 entries_[m.to]->broker.on_answer(name(m.from));
--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -23,8 +23,9 @@
     /// Maximum number of requests that run at the same time.
     unsigned concurrency = 1;
     bool draining = false;
-    /// Remaining time for which the endpoint is slow after its start.
-    std::chrono::milliseconds cold_time_left{};
+    /// Remaining time for which the endpoint accepts few requests, as after its start. Empty if it
+    /// could not be read.
+    std::optional<std::chrono::milliseconds> cold_time_left{std::chrono::milliseconds(0)};
     /// Distinguishes incarnations registered under the same name. Zero when it is not reported.
     core::incarnation incarnation;
 
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <tuple>
 
 namespace currantpitch::dispatch {
@@ -195,7 +196,6 @@
     // Permits are shared out among the entries already.
     const bool limited_only = fair_share_used(now);
     std::vector<candidate> found;
-    bool any_permitted = false;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
         const endpoint_state& s = entry.second;
         const bool eligible = s.available && !request.excluded.contains(entry.first) &&
@@ -206,17 +206,26 @@
         const admission a = admission_of(s, now);
         count_left_out(a);
         const bool usable = (a == admission::unlimited && !limited_only) ||
-                            a == admission::permitted ||
+                            a == admission::permitted || a == admission::at_hand ||
                             (a == admission::requestable && include_requestable);
         const unsigned load = s.own_requests + peer_load(entry.first);
         if (usable && (load < s.properties.concurrency || load == 0)) {
-            found.push_back({&s, load, a == admission::permitted});
-            any_permitted = any_permitted || a == admission::permitted;
+            found.push_back({&s, load, a});
         }
     }
-    if (any_permitted) {
+    const auto is_permitted = [](const candidate& c) {
+        return c.admission == admission::permitted;
+    };
+    if (std::any_of(found.begin(), found.end(), is_permitted)) {
         // A permit is lost if it is not used soon.
-        std::erase_if(found, [](const candidate& c) { return !c.permitted; });
+        std::erase_if(found, std::not_fn(is_permitted));
+    }
+    const auto waits = [&](const candidate& c) {
+        return c.admission == admission::requestable &&
+               signals_->cold(c.endpoint->properties.endpoint, now);
+    };
+    if (!std::all_of(found.begin(), found.end(), waits)) {
+        std::erase_if(found, waits);
     }
     return found;
 }
@@ -229,7 +238,7 @@
     double own = 0;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
         const endpoint_state& s = entry.second;
-        slots += usable_slots(s);
+        slots += usable_slots(s, now);
         used += s.own_requests + peer_load(entry.first);
         own += s.own_requests;
     }
@@ -275,8 +284,13 @@
 bool scheduler::start_at(const core::endpoint_id& endpoint, core::time_point now)
 {
     const auto found = endpoints_.find(endpoint);
-    if (found == endpoints_.end() || !found->second.available ||
-        (signals_ != nullptr && !signals_->admits(endpoint, now))) {
+    if (found == endpoints_.end() || !found->second.available) {
+        return false;
+    }
+    if (admission_of(found->second, now) == backpressure::admission::at_hand) {
+        signals_->request_permit(endpoint, {}, now);
+    }
+    if (signals_ != nullptr && !signals_->admits(endpoint, now)) {
         return false;
     }
     ++found->second.own_requests;
@@ -294,8 +308,7 @@
         return std::nullopt;
     }
     const core::endpoint_id endpoint = chosen->properties.endpoint;
-    start_at(endpoint, now);
-    return endpoint;
+    return start_at(endpoint, now) ? std::optional<core::endpoint_id>(endpoint) : std::nullopt;
 }
 
 bool scheduler::has_candidate(const dispatch_request& request) const
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -58,7 +58,8 @@
 /// least loaded one of all, they would overload it before the next load reports arrive. Where the
 /// service's endpoints work independently, the load is weighted by the endpoint's service time.
 /// Once most slots are in use, an entry is limited to its fair share of them. An endpoint that
-/// limits its requests is chosen only with a permit, which is taken along with the slot.
+/// limits its requests or is cold is chosen only with a permit, which is taken along with the slot.
+/// While others are free, no request waits for the permit of a cold one.
 class scheduler {
 public:
     scheduler(core::failure_domain_id own_domain, bool weigh_by_latency, std::uint64_t seed)
@@ -94,6 +95,8 @@
                                                core::time_point now);
     /// Requests a permit of the endpoint for a request that does not wait for long.
     void request_permit(const core::endpoint_id& endpoint, core::time_point now);
+    /// Whether a permit of the cold endpoint is refused without asking another entry.
+    bool refused_at_once(const core::endpoint_id& endpoint, core::time_point now) const;
     bool awaits_permit(const core::endpoint_id& endpoint, core::time_point now) const;
     /// Starts the request at the endpoint if it admits requests. Returns whether it has started.
     bool start_at(const core::endpoint_id& endpoint, core::time_point now);
@@ -158,14 +161,13 @@
     struct candidate {
         const endpoint_state* endpoint = nullptr;
         unsigned load = 0;
-        /// It limits its requests, and there is a permit.
-        bool permitted = false;
+        backpressure::admission admission = backpressure::admission::unlimited;
     };
 
-    bool limited(const endpoint_state& s) const;
+    bool limited(const endpoint_state& s, core::time_point now) const;
     /// Number of slots that count for the fair share and retry_after. An endpoint that limits its
-    /// requests has none to spare.
-    double usable_slots(const endpoint_state& s) const;
+    /// requests or is cold has none to spare.
+    double usable_slots(const endpoint_state& s, core::time_point now) const;
     backpressure::admission admission_of(const endpoint_state& s, core::time_point now) const;
     const endpoint_state* choose(const dispatch_request& request, bool include_requestable,
                                  core::time_point now);
--- a/src/dispatch/schedulerlimits.cpp
+++ b/src/dispatch/schedulerlimits.cpp
@@ -17,18 +17,18 @@
 
 } // namespace
 
-bool scheduler::limited(const endpoint_state& s) const
+bool scheduler::limited(const endpoint_state& s, core::time_point now) const
 {
-    return signals_ != nullptr && signals_->request_limit(s.properties.endpoint).has_value();
+    return signals_ != nullptr && signals_->accepted_rate(s.properties.endpoint, now).has_value();
 }
 
-double scheduler::usable_slots(const endpoint_state& s) const
+double scheduler::usable_slots(const endpoint_state& s, core::time_point now) const
 {
     if (!s.available) {
         return 0;
     }
-    return limited(s) ? s.own_requests + peer_load(s.properties.endpoint)
-                      : std::min(limit_, static_cast<double>(s.properties.concurrency));
+    return limited(s, now) ? s.own_requests + peer_load(s.properties.endpoint)
+                           : std::min(limit_, static_cast<double>(s.properties.concurrency));
 }
 
 backpressure::admission scheduler::admission_of(const endpoint_state& s, core::time_point now) const
@@ -44,6 +44,12 @@
     }
 }
 
+bool scheduler::refused_at_once(const core::endpoint_id& endpoint, core::time_point now) const
+{
+    return signals_ != nullptr && signals_->cold(endpoint, now) &&
+           signals_->admission_of(endpoint, now) == backpressure::admission::refused;
+}
+
 bool scheduler::awaits_permit(const core::endpoint_id& endpoint, core::time_point now) const
 {
     return signals_ != nullptr &&
@@ -89,10 +95,12 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(
             std::max(waiting_.begin()->request.deadline - now, core::duration::zero()));
     for (const core::endpoint_id& endpoint : requestable) {
-        if (pending++ >= waiting_.size()) {
+        if (pending >= waiting_.size()) {
             break;
         }
         signals_->request_permit(endpoint, max_wait, now);
+        // A permit of a cold endpoint may be refused at once because this entry has no part in it.
+        pending += refused_at_once(endpoint, now) ? 0 : 1;
     }
 }
 
@@ -102,7 +110,8 @@
     // requests that are already waiting start first.
     double slots = 0;
     for (const std::pair<const core::endpoint_id, endpoint_state>& entry : endpoints_) {
-        slots += usable_slots(entry.second);
+        // Cold times end before most callers return.
+        slots += usable_slots(entry.second, core::time_point::max());
     }
     const double queue_length = static_cast<double>(waiting_.size() + 1);
     const std::chrono::milliseconds expected(
--- a/src/dispatch/tests/tst_scheduler.cpp
+++ b/src/dispatch/tests/tst_scheduler.cpp
@@ -327,9 +327,8 @@
     {
         scheduler.set_signals(signals);
         scheduler.set_endpoints({endpoint(a, 100), endpoint(b, 100)});
-        signals.ask_for_permit = [this](const core::endpoint_id& e, double,
-                                        std::chrono::milliseconds) {
-            asked.push_back(e);
+        signals.ask_for_permit = [this](const backpressure::permit_request& r) {
+            asked.push_back(r.endpoint);
         };
     }
     void limit(const core::endpoint_id& e, double per_second)
--- a/src/dispatch/workqueue.cpp
+++ b/src/dispatch/workqueue.cpp
@@ -73,7 +73,7 @@
 
 core::task<std::optional<core::endpoint_id>> work_queue::start_now(dispatch_request request)
 {
-    for (int requested = 0; requested < backpressure::max_permit_requests; ++requested) {
+    for (int requested = 0; requested < backpressure::max_permit_requests;) {
         const core::time_point now = core::runtime_clock::now();
         const std::optional<core::endpoint_id> endpoint = slot_scheduler_.preferred(request, now);
         if (!endpoint || slot_scheduler_.start_at(*endpoint, now)) {
@@ -82,6 +82,7 @@
         const core::time_point give_up_at =
             std::min(now + backpressure::permit_wait, request.deadline);
         slot_scheduler_.request_permit(*endpoint, now);
+        requested += slot_scheduler_.refused_at_once(*endpoint, now) ? 0 : 1;
         while (slot_scheduler_.awaits_permit(*endpoint, core::runtime_clock::now()) &&
                core::runtime_clock::now() < give_up_at) {
             co_await permit_change_.wait_until(give_up_at);
--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -96,6 +96,13 @@
         for (const objectstore::object& o : listing.objects) {
             const core::result<directory::endpoint_record> r = decode(o);
             if (r) {
+                const core::time_point now = core::runtime_clock::now();
+                if (listed_) {
+                    context_.cold_times.on_registered(r.value(), o.version, now);
+                }
+                else {
+                    context_.cold_times.on_first_listing(r.value(), o.version, now);
+                }
                 records.push_back(r.value());
             }
         }
@@ -120,8 +127,12 @@
             o.deleted ? core::result<directory::endpoint_record>(
                             core::error{core::errc::not_found, "removed"})
                       : decode(o);
+        if (r) {
+            context_.cold_times.on_registered(r.value(), o.version, core::runtime_clock::now());
+        }
         const bool changed = r ? before == nullptr || !(*before == r.value()) : before != nullptr;
         if (!changed) {
+            context_.apply_cold_times();
             return;
         }
         if (r) {
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -101,6 +101,9 @@
     proxy::proxy_bounds b;
     b.max_configuration_age = s.revocation_time - configuration_age_margin;
     b.retries = {s.retry_ratio, s.retry_slack, s.retry_window};
+    if (s.cold_start) {
+        b.cold_start = {s.cold_start->overshoot, s.cold_start->tolerance};
+    }
     return b;
 }
 
@@ -235,6 +238,8 @@
     settings_.revocation_time = changed.revocation_time;
     settings_.stop_timeout = changed.stop_timeout;
     context_.bounds.max_configuration_age = bounds_of(changed).max_configuration_age;
+    context_.bounds.cold_start = bounds_of(changed).cold_start;
+    endpoint_signals_.apply_bounds();
 }
 
 template <site_platform Site>
@@ -325,6 +330,7 @@
     while (true) {
         co_await core::sleep_for(maintenance_interval);
         const core::time_point now = core::runtime_clock::now();
+        endpoint_signals_.on_running();
         const std::vector<core::endpoint_id> expired = context_.endpoints.expire(now);
         for (const core::endpoint_id& endpoint : expired) {
             core::log_event("endpoint_not_back").field("endpoint", endpoint);
@@ -342,6 +348,8 @@
         }
         context_.requests.update(now);
         core::gauge_for("requests_in_flight").set(static_cast<double>(context_.in_flight));
+        core::gauge_for("endpoints_cold")
+            .set(static_cast<double>(context_.signals.cold_count(now)));
         core::gauge_for("idle_connections").set(static_cast<double>(context_.connections.size()));
         core::gauge_for("configuration_age_ms")
             .set(static_cast<double>(core::to_milliseconds(context_.configuration.age())));
--- a/src/gateway/signalexchange.cpp
+++ b/src/gateway/signalexchange.cpp
@@ -35,10 +35,31 @@
     context_.publish_signal = [this](const backpressure::reported_signal& signal) {
         hub_.send_to_all(wire::encode(backpressure::signal_report{{signal}}));
     };
-    context_.signals.ask_for_permit = [this](const core::endpoint_id& endpoint, double per_second,
-                                             std::chrono::milliseconds max_wait) {
-        ask_for_permit(endpoint, per_second, max_wait);
+    context_.signals.ask_for_permit = [this](const backpressure::permit_request& request) {
+        ask_for_permit(request);
     };
+    context_.signals.own_permit_at = [this](const core::endpoint_id& endpoint, double per_second,
+                                            core::time_point now) {
+        return broker_.own_permit_at(endpoint, per_second, now);
+    };
+    context_.on_cold = [this](const core::endpoint_id& endpoint) {
+        publish_cold(endpoint);
+    };
+    apply_bounds();
+}
+
+void signal_exchange::apply_bounds()
+{
+    broker_.set_cold_bounds(context_.bounds.cold_start.value_or(backpressure::cold_bounds()));
+}
+
+void signal_exchange::publish_cold(const core::endpoint_id& endpoint)
+{
+    const std::optional<backpressure::reported_signal> report =
+        context_.signals.report_of(endpoint, core::runtime_clock::now());
+    if (report && broker_.owns(endpoint)) {
+        context_.publish_signal(*report);
+    }
 }
 
 void signal_exchange::set_registered(const std::set<core::host_id>& hosts)
@@ -84,16 +105,13 @@
     }
 }
 
-void signal_exchange::ask_for_permit(const core::endpoint_id& endpoint, double per_second,
-                                     std::chrono::milliseconds max_wait)
+void signal_exchange::ask_for_permit(const backpressure::permit_request& request)
 {
-    const backpressure::permit_source source =
-        broker_.request(endpoint, per_second, max_wait, core::runtime_clock::now());
+    const backpressure::permit_source source = broker_.request(request, core::runtime_clock::now());
     core::counter_for("permits_requested_total", source.owner ? "owner=\"peer\"" : "owner=\"self\"")
         .add();
     if (source.owner) {
-        hub_.send(*source.owner,
-                  wire::encode(backpressure::permit_request{endpoint, per_second, max_wait}));
+        hub_.send(*source.owner, wire::encode(request));
     }
     if (source.own_offer) {
         on_offer(*source.own_offer);
@@ -108,6 +126,15 @@
         if (reported.per_second && !std::isfinite(*reported.per_second)) {
             continue;
         }
+        if (reported.cold_for.count() > 0 && std::isfinite(reported.cold_per_second)) {
+            context_.on_cold_report(reported, peer);
+        }
+        if (!reported.per_second && !reported.leaving) {
+            // Tells of no answer. It would otherwise end a limit.
+            if (reported.cold_for.count() > 0) {
+                continue;
+            }
+        }
         const backpressure::endpoint_signal signal{reported.endpoint,   reported.incarnation,
                                                    reported.per_second, reported.leaving,
                                                    std::nullopt,        now - reported.asked_ago};
@@ -116,18 +143,26 @@
     }
 }
 
-void signal_exchange::on_request(const core::host_id& peer,
-                                 const backpressure::permit_request& request)
+void signal_exchange::on_request(const core::host_id& peer, backpressure::permit_request request)
 {
     if (!std::isfinite(request.per_second)) {
         core::counter_for("peer_messages_malformed_total").add();
         return;
     }
-    const double per_second =
-        std::clamp(context_.signals.request_limit(request.endpoint).value_or(request.per_second),
-                   backpressure::min_request_limit, backpressure::max_request_limit);
-    const backpressure::permit_offer offer =
-        broker_.grant(request.endpoint, per_second, request.max_wait, core::runtime_clock::now());
+    const core::time_point now = core::runtime_clock::now();
+    if (request.cold_for.count() > 0 && !request.cold_assumed) {
+        backpressure::reported_signal report;
+        report.endpoint = request.endpoint;
+        report.incarnation = request.incarnation;
+        report.cold_for = request.cold_for;
+        report.cold_per_second = request.per_second;
+        context_.on_cold_report(report, peer);
+    }
+    request.cold_for = std::max(request.cold_for, context_.signals.cold_for(request.endpoint, now));
+    request.per_second = std::clamp(
+        context_.signals.accepted_rate(request.endpoint, now).value_or(request.per_second),
+        backpressure::min_request_limit, backpressure::max_request_limit);
+    const backpressure::permit_offer offer = broker_.grant(request, now);
     core::counter_for("permits_offered_total", offer.granted ? "granted=\"1\"" : "granted=\"0\"")
         .add();
     hub_.send(peer, wire::encode(offer));
--- a/src/gateway/signalexchange.h
+++ b/src/gateway/signalexchange.h
@@ -21,14 +21,20 @@
     /// Tells a peer that has just connected what is known.
     void on_peer_up(const core::host_id& peer);
     void on_peer_down(const core::host_id& peer);
+    /// Must be called at short intervals.
+    void on_running() { broker_.on_running(core::runtime_clock::now()); }
+    /// Takes over changed bounds on the requests to cold endpoints.
+    void apply_bounds();
     /// Handles a message of the slice backpressure. Returns false for any other type.
     bool on_message(const core::host_id& peer, std::uint8_t type, const std::string& payload);
 
 private:
-    void ask_for_permit(const core::endpoint_id& endpoint, double per_second,
-                        std::chrono::milliseconds max_wait);
+    void ask_for_permit(const backpressure::permit_request& request);
+    /// Tells all peers of a cold endpoint if this entry issues its permits. The others ask this
+    /// entry or read the store.
+    void publish_cold(const core::endpoint_id& endpoint);
     void on_report(const core::host_id& peer, const backpressure::signal_report& report);
-    void on_request(const core::host_id& peer, const backpressure::permit_request& request);
+    void on_request(const core::host_id& peer, backpressure::permit_request request);
     void on_offer(const backpressure::permit_offer& offer);
     /// Processes the requests that wait for a slot of the endpoint's service.
     core::task<void> process_waiting_at(core::endpoint_id endpoint, core::time_point start);
--- a/src/gateway/tests/tst_signalexchange.cpp
+++ b/src/gateway/tests/tst_signalexchange.cpp
@@ -140,9 +140,10 @@
                               {{limited, core::incarnation{1},
                                 std::numeric_limits<double>::quiet_NaN(), false, 0ms}}}));
     CHECK(!a.knows_limit());
-    a.exchange.on_message(core::host_id("b"), backpressure::permit_request_type,
-                          wire::encode(backpressure::permit_request{
-                              limited, std::numeric_limits<double>::infinity()}));
+    a.exchange.on_message(
+        core::host_id("b"), backpressure::permit_request_type,
+        wire::encode(backpressure::permit_request{
+            limited, std::numeric_limits<double>::infinity(), 0ms, {}, 0ms, 0, false}));
 }
 
 TEST(signal_exchanges, endpoint_that_leaves_gets_requests_of_other_entries)
@@ -152,3 +153,72 @@
         {limited, core::incarnation{1}, std::nullopt, true, {}, core::runtime_clock::now()}, "id");
     run_until(io, [this] { return b.context.signals.leaving(limited); });
 }
+
+TEST_GROUP_BASE(cold_exchanges,
+                TEST_GROUP_CppUTestGroupsignal_exchanges){void setup() override{core::silence_log();
+for (entry_process* const p : {&a, &b}) {
+    p->context.bounds.cold_start = backpressure::cold_bounds{1.5, 5};
+    p->exchange.apply_bounds();
+}
+}
+static void report_cold(entry_process& p, std::chrono::milliseconds left)
+{
+    backpressure::reported_signal report;
+    report.endpoint = limited;
+    report.incarnation = core::incarnation{1};
+    report.cold_for = left;
+    report.cold_per_second = 17;
+    p.context.on_cold_report(report, core::host_id("b"));
+}
+static bool knows_cold(const entry_process& p)
+{
+    return p.context.signals.cold(limited, core::runtime_clock::now());
+}
+}
+;
+
+// An entry that cannot read the store sent a cold endpoint as many requests as the others.
+TEST(cold_exchanges, entry_learns_of_a_cold_endpoint_from_the_store_alone)
+{
+    connect_both();
+    report_cold(a, 3000ms);
+    // Known to the owner of its permits, by itself or by the request for one.
+    core::spawn(io.get_executor(), a.send_request());
+    core::spawn(io.get_executor(), a.send_request());
+    for (int i = 0; i < 20; ++i) {
+        a.context.signals.request_permit(limited, 30ms, core::runtime_clock::now());
+        run_for(5ms);
+    }
+    run_until(io, [this] { return knows_cold(b); });
+}
+
+TEST(cold_exchanges, peer_that_connects_later_does_not_learn_of_a_cold_endpoint)
+{
+    report_cold(a, 3000ms);
+    a.answer(2);
+    connect_both();
+    run_until(io, [this] { return knows_cold(b) && b.knows_limit(); });
+    // News of the cold time alone does not end the limit.
+    backpressure::reported_signal report;
+    report.endpoint = limited;
+    report.incarnation = core::incarnation{1};
+    report.cold_for = 5000ms;
+    report.cold_per_second = 17;
+    b.exchange.on_message(core::host_id("a"), backpressure::signal_report_type,
+                          wire::encode(backpressure::signal_report{{report}}));
+    CHECK(b.knows_limit());
+}
+
+TEST(cold_exchanges, cold_endpoint_is_limited_without_the_setting)
+{
+    a.context.bounds.cold_start.reset();
+    report_cold(a, 3000ms);
+    CHECK(!knows_cold(a));
+    directory::endpoint_record record = *a.context.endpoints.find(limited);
+    record.cold_time_left = 3000ms;
+    a.context.endpoints.apply(record);
+    a.context.cold_times.on_registered(record, core::revision{1}, core::runtime_clock::now());
+    a.context.apply_endpoints();
+    CHECK(!knows_cold(a));
+    CHECK(a.context.signals.admits(limited, core::runtime_clock::now()));
+}
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -26,6 +26,8 @@
     bool progressed = false;
     /// The connection ended before the answer was complete.
     bool connection_lost = false;
+    /// Nothing was sent, because the request needs a new permit.
+    bool permit_lost = false;
 };
 
 /// The attempt that would follow the running one.
@@ -130,6 +132,7 @@
     const directory::endpoint_record record = *found;
     core::result<http::client_connection> connection = co_await connect(record);
     if (!connection) {
+        context_.on_connection_lost(record);
         outcome.reason = "connect_failed";
         co_return outcome;
     }
@@ -142,6 +145,14 @@
         outcome.work = dispatch::work_outcome::abandoned;
         co_return outcome;
     }
+    if (!context_.signals.may_send(slot.endpoint(), slot.started_at(),
+                                   core::runtime_clock::now())) {
+        core::counter_for("permits_expired_total").add();
+        outcome.reason = "permit_expired";
+        outcome.work = dispatch::work_outcome::abandoned;
+        outcome.permit_lost = true;
+        co_return outcome;
+    }
     if (deadline() - core::runtime_clock::now() < min_time_left) {
         outcome.reason = "out_of_time";
         outcome.work = dispatch::work_outcome::abandoned;
@@ -162,6 +173,9 @@
     else {
         outcome = std::get<0>(std::move(first));
     }
+    if (outcome.connection_lost) {
+        context_.on_connection_lost(record);
+    }
     outcome.head_received = head_received_;
     outcome.progressed = progressed_;
     if (outcome.result == attempt_result::not_run) {
--- a/src/proxy/proxyconstants.h
+++ b/src/proxy/proxyconstants.h
@@ -69,5 +69,8 @@
 inline constexpr std::size_t max_part_id_bytes = 64;
 /// Maximum number of answers with the id of another request that are skipped on one connection.
 inline constexpr int max_mismatched_answers = 2;
+/// Number of times that a request is given to another endpoint because its permit is lost before it
+/// is sent.
+inline constexpr int max_attempts_left_out = 5;
 
 } // namespace currantpitch::proxy
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -1,5 +1,6 @@
 #include "proxy/proxycontext.h"
 
+#include "core/counters.h"
 #include "core/eventlog.h"
 #include "proxy/proxyconstants.h"
 
@@ -32,6 +33,10 @@
     state.concurrency_controller.set_concurrency(engine ? profile->engine->concurrency
                                                         : unlimited_concurrency);
     state.queue.slot_scheduler().set_limit(state.concurrency_controller.limit());
+    if (profile == nullptr || profile->cold_requests_per_second) {
+        state.cold_requests_per_second =
+            profile == nullptr ? 0 : *profile->cold_requests_per_second;
+    }
 }
 
 void proxy_context::apply_endpoints()
@@ -58,8 +63,72 @@
         service_state& state = service(e.first);
         apply_profile(e.first, state);
         state.queue.slot_scheduler().set_endpoints(e.second);
-        state.queue.process_waiting();
     }
+    cold_times.retain(endpoints.all());
+    apply_cold_times();
+    for (const std::pair<const core::service_id, std::unique_ptr<service_state>>& entry :
+         services) {
+        entry.second->queue.process_waiting();
+    }
+}
+
+void proxy_context::apply_cold_times()
+{
+    if (!bounds.cold_start) {
+        return;
+    }
+    const core::time_point now = core::runtime_clock::now();
+    const std::shared_ptr<const routes::route_table>& table = configuration.table();
+    cold_times.take_new(
+        [&](const core::endpoint_id& endpoint, const directory::cold_times::cold_time& cold) {
+            if (!table || table->find_service(cold.service) == nullptr) {
+                return false;
+            }
+            const double rate = service(cold.service).cold_requests_per_second;
+            const core::duration left = rate > 0 ? cold.until - now : core::duration::zero();
+            const std::chrono::milliseconds cold_for =
+                std::chrono::ceil<std::chrono::milliseconds>(left);
+            if (cold.assumed && rate > 0) {
+                signals.assume_cold(endpoint, cold.incarnation, rate, cold_for, now);
+            }
+            else if (signals.on_cold(endpoint, cold.incarnation, rate, cold_for, now)) {
+                log_cold(endpoint, cold.incarnation, "store");
+            }
+            return true;
+        });
+}
+
+void proxy_context::on_connection_lost(const directory::endpoint_record& record)
+{
+    const double rate = service(record.service).cold_requests_per_second;
+    if (bounds.cold_start && rate > 0) {
+        signals.assume_cold(record.endpoint, record.incarnation, rate, directory::renewal_time,
+                            core::runtime_clock::now());
+    }
+}
+
+void proxy_context::on_cold_report(const backpressure::reported_signal& report,
+                                   const core::host_id& peer)
+{
+    if (bounds.cold_start &&
+        signals.on_cold_report(report.endpoint, report.incarnation, report.cold_per_second,
+                               report.cold_for, core::runtime_clock::now())) {
+        log_cold(report.endpoint, report.incarnation, peer.str());
+    }
+}
+
+void proxy_context::log_cold(const core::endpoint_id& endpoint, core::incarnation incarnation,
+                             std::string_view source)
+{
+    const core::time_point now = core::runtime_clock::now();
+    core::counter_for("cold_endpoints_total").add();
+    core::log_event("endpoint_cold")
+        .field("endpoint", endpoint)
+        .field("incarnation", incarnation)
+        .field("for_ms", signals.cold_for(endpoint, now).count())
+        .field("per_second", signals.accepted_rate(endpoint, now).value_or(0))
+        .field("source", source);
+    on_cold(endpoint);
 }
 
 void proxy_context::on_endpoint_signal(const backpressure::endpoint_signal& signal,
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "admission/retrywindow.h"
+#include "backpressure/coldbudget.h"
 #include "backpressure/endpointsignals.h"
 #include "core/task.h"
+#include "directory/coldtimes.h"
 #include "directory/endpointdirectory.h"
 #include "dispatch/concurrencycontroller.h"
 #include "dispatch/workqueue.h"
@@ -37,6 +39,8 @@
     core::time_point last_progress;
     /// Number of streams that are at an endpoint.
     std::size_t running_streams = 0;
+    /// Requests per second that a cold endpoint accepts; zero if the service has none.
+    double cold_requests_per_second = 0;
 };
 
 /// Bounds that the deployment sets.
@@ -44,6 +48,8 @@
     /// Age of the configuration beyond which API keys are no longer accepted.
     std::chrono::milliseconds max_configuration_age{4500};
     admission::retry_allowance retries;
+    /// Bound on the requests to cold endpoints. Without it, they are treated like the others.
+    std::optional<backpressure::cold_bounds> cold_start{};
 };
 
 /// State that all requests of one entry share.
@@ -61,6 +67,13 @@
     service_state& service(const core::service_id& name);
     /// Updates every service with its current endpoints and its profile from the configuration.
     void apply_endpoints();
+    /// Records the cold times that are new and whose services are configured.
+    void apply_cold_times();
+    /// Records that the endpoint refused or lost a connection, so that it may have started again
+    /// and be cold before it registers anew.
+    void on_connection_lost(const directory::endpoint_record& record);
+    /// Records what a peer knows of a cold endpoint.
+    void on_cold_report(const backpressure::reported_signal& report, const core::host_id& peer);
     /// Records what an endpoint's answer to this request says about the requests that it accepts.
     void on_endpoint_signal(const backpressure::endpoint_signal& signal,
                             const std::string& request_id);
@@ -80,11 +93,15 @@
     /// Updates a service with its profile from the configuration.
     void apply_profile(const core::service_id& name, service_state& state);
 
+    void log_cold(const core::endpoint_id& endpoint, core::incarnation incarnation,
+                  std::string_view source);
+
     core::asio::any_io_executor executor;
     core::failure_domain_id own_domain;
     proxy_bounds bounds;
     routes::configuration_view configuration;
     directory::endpoint_directory endpoints;
+    directory::cold_times cold_times;
     backpressure::endpoint_signals signals;
     connection_pool connections;
     answer_memory answers{max_answers_bytes};
@@ -95,6 +112,9 @@
     std::function<void(const backpressure::reported_signal&)> publish_signal =
         [](const backpressure::reported_signal&) {
         };
+    /// Is called when an endpoint becomes known as cold.
+    std::function<void(const core::endpoint_id&)> on_cold = [](const core::endpoint_id&) {
+    };
     /// Sends a report on parts of prompts to all peers.
     part_guard::publisher publish_part_report = [](const admission::part_report&) {
     };
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -66,6 +66,8 @@
     /// Failure answer of an endpoint. It is delivered if no retry gets an answer.
     std::optional<attempt_outcome> endpoint_failure_;
     unsigned attempts_ = 0;
+    /// Attempts that ended before anything was sent, because the endpoint had become cold.
+    int attempts_left_out_ = 0;
     bool may_have_run_ = false;
     std::set<core::endpoint_id> tried_endpoints_;
     /// Slot of the next attempt, while the current one is silent.
@@ -101,6 +103,11 @@
              }});
         attempt_outcome outcome = co_await attempt.run(slot);
         slot.set_outcome(outcome.work);
+        if (outcome.permit_lost && attempts_left_out_++ < max_attempts_left_out) {
+            // Not an attempt of the route: another endpoint gets it without using a retry.
+            --attempts_;
+            continue;
+        }
         may_have_run_ = may_have_run_ || outcome.result == attempt_result::unknown ||
                         outcome.result == attempt_result::failed;
         const next_step step = answer_.caller_lost()
--- a/src/proxy/tests/tst_limitedendpoints.cpp
+++ b/src/proxy/tests/tst_limitedendpoints.cpp
@@ -11,9 +11,8 @@
     void configure_both()
     {
         configure(routes::retry_policy::idempotent);
-        shared.signals.ask_for_permit = [this](const core::endpoint_id& e, double,
-                                               std::chrono::milliseconds) {
-            shared.signals.on_offer({e, false, 5000ms}, core::runtime_clock::now());
+        shared.signals.ask_for_permit = [this](const backpressure::permit_request& r) {
+            shared.signals.on_offer({r.endpoint, false, 5000ms}, core::runtime_clock::now());
         };
     }
 };
@@ -50,9 +49,8 @@
 {
     configure(routes::retry_policy::resumable_stream);
     int asked = 0;
-    shared.signals.ask_for_permit = [this, &asked](const core::endpoint_id& e, double,
-                                                   std::chrono::milliseconds) {
-        shared.signals.on_offer({e, ++asked == 1, 0ms}, core::runtime_clock::now());
+    shared.signals.ask_for_permit = [this, &asked](const backpressure::permit_request& r) {
+        shared.signals.on_offer({r.endpoint, ++asked == 1, 0ms}, core::runtime_clock::now());
     };
     shared.on_endpoint_signal(
         {core::endpoint_id("b"), {}, 0.5, false, {}, core::runtime_clock::now()}, "7");
@@ -92,3 +90,28 @@
     CHECK(answer.ends_with("endpoints_limited"));
     LONGS_EQUAL(2, received_requests());
 }
+
+// A request whose permit is lost is not sent. It goes to another endpoint, although there is no
+// allowance for a retry.
+TEST(limited_endpoints, request_to_an_endpoint_that_becomes_cold_meanwhile_is_sent_or_refused)
+{
+    shared.bounds.retries = {0, 0, 1000ms};
+    configure(routes::retry_policy::at_most_once);
+    a.replies = {{full_answer("7", "text")}};
+    b.replies = {{full_answer("7", "text")}};
+    std::string chosen;
+    core::spawn(context.get_executor(), [](flow_site& site, std::string& name) -> core::task<void> {
+        const dispatch::scheduler& slots = site.shared.service(site.service).queue.slot_scheduler();
+        while (slots.own_load().empty()) {
+            co_await asio::post(asio::use_awaitable);
+        }
+        // The slot is taken, and the connection is not established yet.
+        const core::endpoint_id endpoint = slots.own_load().begin()->first;
+        name = endpoint.str();
+        site.shared.signals.on_cold(endpoint, {}, 17, 60s, core::runtime_clock::now());
+    }(*this, chosen));
+    send_request();
+    LONGS_EQUAL(200, status());
+    LONGS_EQUAL(chosen == "a" ? 0 : 1, a.received_requests.size());
+    LONGS_EQUAL(chosen == "a" ? 1 : 0, b.received_requests.size());
+}
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -83,6 +83,9 @@
     /// Maximum number of connections that one endpoint accepts from all callers together.
     unsigned max_connections = 0;
     std::optional<engine_profile> engine;
+    /// Requests per second that a cold endpoint accepts from all callers together; zero if the
+    /// service has no cold endpoints. Empty if it could not be read.
+    std::optional<double> cold_requests_per_second{0.0};
 };
 
 struct workspace {
--- a/src/settings/internal/yamlreader.cpp
+++ b/src/settings/internal/yamlreader.cpp
@@ -184,6 +184,12 @@
     return yaml_reader(section, path_ + field + ".", file_, *problems_);
 }
 
+std::optional<yaml_reader> yaml_reader::optional_section(const std::string& field)
+{
+    return child(field).IsDefined() ? std::optional<yaml_reader>(required_section(field))
+                                    : std::nullopt;
+}
+
 void yaml_reader::finish()
 {
     if (!node_.IsMap()) {
--- a/src/settings/internal/yamlreader.h
+++ b/src/settings/internal/yamlreader.h
@@ -32,6 +32,8 @@
     /// Returns the mapping below a field. If it is absent, reports a finding and returns an empty
     /// mapping.
     yaml_reader required_section(const std::string& field);
+    /// Returns the mapping below a field, or nullopt if it is absent.
+    std::optional<yaml_reader> optional_section(const std::string& field);
 
     /// Reports every field that was never requested as an unknown field. A node that is not a
     /// mapping is reported as well.
--- a/src/settings/nodesettings.cpp
+++ b/src/settings/nodesettings.cpp
@@ -8,6 +8,8 @@
 
 constexpr double max_retry_ratio = 10;
 constexpr double max_retry_slack = 1e6;
+constexpr double max_cold_overshoot = 100;
+constexpr double max_cold_tolerance = 1e6;
 
 void read_gateway(yaml_reader& root, yaml_reader& listen, node_settings& s)
 {
@@ -22,6 +24,14 @@
     s.retry_window =
         retries.optional_duration("window", s.retry_window, min_retry_window, max_stop_timeout);
     retries.finish();
+    std::optional<yaml_reader> cold_start = root.optional_section("cold_start");
+    if (cold_start) {
+        cold_start_settings c;
+        c.overshoot = cold_start->optional_real("overshoot", c.overshoot, 0, max_cold_overshoot);
+        c.tolerance = cold_start->optional_real("tolerance", c.tolerance, 0, max_cold_tolerance);
+        cold_start->finish();
+        s.cold_start = c;
+    }
 }
 
 } // namespace
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -12,6 +12,11 @@
 
 enum class node_role { gateway, rank_agent };
 
+struct cold_start_settings {
+    double overshoot = 1;
+    double tolerance = 0;
+};
+
 /// Settings of a process that serves declared routes. A gateway accepts connections from callers; a
 /// rank agent runs beside an engine. Read at startup and whenever they change.
 struct node_settings {
@@ -37,6 +42,10 @@
     double retry_ratio = 0.1;
     double retry_slack = 0;
     std::chrono::milliseconds retry_window{10000};
+    /// Gateways only: bound on the requests that a cold endpoint gets within any second from all
+    /// gateways together, as a multiple of the rate that its service declares and a number of
+    /// requests in addition. Without it, cold endpoints are treated like the others.
+    std::optional<cold_start_settings> cold_start;
 
     /// Rank agents only: address of the engine on this host and the service that it belongs to.
     address engine_address;
--- a/src/settings/tests/tst_nodesettings.cpp
+++ b/src/settings/tests/tst_nodesettings.cpp
@@ -45,6 +45,19 @@
     CHECK(report.settings->revocation_time == 5s);
 }
 
+TEST(node_settings_file, bound_on_cold_endpoints_is_optional)
+{
+    CHECK(!settings::read_node_settings(gateway_text, "a.yaml").settings->cold_start);
+    const std::string text =
+        std::string(gateway_text) + "cold_start:\n  overshoot: 1.5\n  tolerance: 5\n";
+    const settings::node_settings_report report = settings::read_node_settings(text, "a.yaml");
+    DOUBLES_EQUAL(1.5, report.settings->cold_start->overshoot, 1e-9);
+    DOUBLES_EQUAL(5, report.settings->cold_start->tolerance, 1e-9);
+    CHECK(!settings::read_node_settings(std::string(gateway_text) + "cold_start: {overshoot: -1}",
+                                        "a.yaml")
+               .settings);
+}
+
 TEST(node_settings_file, agent_settings_are_read)
 {
     const settings::node_settings_report report =
--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -129,6 +129,12 @@
     }
     call_state& s = found->second;
     s.arrivals.push_back(a);
+    // The bound holds whatever the state of the gateways. A request that was meant for another
+    // endpoint does not count.
+    const std::string too_many = a.misdirected ? "" : cold_requests_.on_arrival(a.endpoint, a.at);
+    if (!too_many.empty()) {
+        add_finding("cold-endpoint", a.request, a.endpoint.str() + " " + too_many);
+    }
     if (gateway_undisturbed(s.call.gateway, a.at, a.at)) {
         const std::string finding =
             endpoint_signals_.on_arrival(s.call.gateway, a.endpoint, s.call.at, a.at);
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/runtimeclock.h"
+#include "soak/coldchecker.h"
 #include "soak/signalchecker.h"
 #include "soak/soakconstants.h"
 #include "standins/standincaller.h"
@@ -71,6 +72,14 @@
     {
         endpoint_signals_.on_leaving(e, at);
     }
+    /// Reports that an endpoint is cold between these times and accepts this many requests per
+    /// second meanwhile.
+    void on_endpoint_cold(const core::endpoint_id& e, double per_second, core::time_point from,
+                          core::time_point until)
+    {
+        cold_requests_.on_cold(e, per_second * limits_.cold_overshoot + limits_.cold_tolerance,
+                               from, until);
+    }
     /// Reports that a part of a prompt crashed an endpoint.
     void on_part_crash(core::time_point at) { part_crashes_.push_back(at); }
     /// Reports that a request with this target crashed an endpoint.
@@ -112,6 +121,9 @@
     /// endpoints although they had to be known by then.
     std::size_t request_crashes() const;
     std::size_t late_crashing_requests() const;
+    /// Number of requests that cold endpoints got, and the most that one got within a second.
+    std::size_t cold_requests() const { return cold_requests_.requests(); }
+    std::size_t most_cold_requests() const { return cold_requests_.most_in_a_second(); }
     /// Number of sound requests that were refused as suspects.
     std::size_t sound_suspected() const { return sound_suspected_; }
 
@@ -157,6 +169,7 @@
 
     guarantee_limits limits_;
     signal_checker endpoint_signals_;
+    cold_checker cold_requests_;
     std::vector<configuration> configurations_;
     std::map<core::endpoint_id, core::time_point> leaving_;
     std::vector<disturbance> disturbances_;
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -45,6 +45,10 @@
     /// Ratio of sound requests that may be refused because they are suspected of crashing
     /// endpoints.
     double max_suspected_ratio = 0.001;
+    /// A cold endpoint may get this multiple of its declared rate and some requests in addition
+    /// within any second, from all gateways together.
+    double cold_overshoot = 1.5;
+    double cold_tolerance = 5;
     /// Ratio of requests that must succeed after the last fault. The platform's documentation
     /// requires a quarter.
     double min_served_ratio = 0.9;
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -61,6 +61,8 @@
               << " part_crashes=" << checker.part_crashes()
               << " request_crashes=" << checker.request_crashes()
               << " late_crashing_requests=" << checker.late_crashing_requests()
+              << " cold_requests=" << checker.cold_requests()
+              << " most_cold_in_second=" << checker.most_cold_requests()
               << " sound_suspected=" << checker.sound_suspected()
               << " peak_gateway_bytes=" << injector.peak_gateway_memory_bytes()
               << " switches=" << site.group().switches() << " served_after=" << served
@@ -118,6 +120,8 @@
                  "Let a part of some prompts crash the ranks that begin to answer it");
     app.add_flag("--crashing-request", options.site.crashing_request,
                  "Let one request on each route crash the endpoints that run it");
+    app.add_flag("--cold-endpoints", options.site.cold_endpoints,
+                 "Let endpoints be cold when they come back, and restart some again and again");
     app.add_flag("--list", options.list, "Only print the faults of the seed");
     app.footer(
         "Exit codes: 0 if every guarantee held, 1 if one was violated; the findings name it.");
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -44,6 +44,14 @@
 constexpr std::chrono::milliseconds max_own_lag{150};
 /// First number of the agents' store listeners. Those of the gateways have lower numbers.
 constexpr std::size_t first_agent_store_number = 100;
+/// Time for which an endpoint is cold, requests per second that it accepts meanwhile, and the
+/// interval at which it reports the remaining time.
+constexpr std::chrono::milliseconds cold_time{3000};
+constexpr double cold_per_second = 4;
+constexpr std::chrono::milliseconds cold_report_interval{1200};
+/// Interval at which some endpoints restart together, and their number.
+constexpr std::chrono::milliseconds cold_restart_interval{5000};
+constexpr std::size_t cold_restarts = 3;
 
 asio::ip::tcp::endpoint tcp_endpoint(const std::string& ip, std::uint16_t port)
 {
@@ -148,7 +156,11 @@
         "\", readiness: \"" + address_text(ip, readiness_port) + "\", peers: \"" +
         address_text(ip, peer_port) + "\", metrics: \"" + address_text(ip, metrics_port) +
         "\"}\nrevocation_time: 5000ms\nretries: {ratio: 0.2, slack: " +
-        std::to_string(guarantee_limits{}.retry_slack) + ", window: 10s}\n";
+        std::to_string(guarantee_limits{}.retry_slack) + ", window: 10s}\n" +
+        (options_.cold_endpoints
+             ? "cold_start: {overshoot: " + std::to_string(guarantee_limits{}.cold_overshoot) +
+                   ", tolerance: " + std::to_string(guarantee_limits{}.cold_tolerance) + "}\n"
+             : "");
     node n = make_node(name, settings, i);
     const asio::ip::tcp::endpoint link = tcp_endpoint(loopback_ip(caller_block, i), proxy_port);
     n.caller_link = std::make_unique<fault_proxy>(executor_, link, tcp_endpoint(ip, caller_port));
@@ -278,8 +290,11 @@
 void soak_site::register_endpoint(const endpoint& e, bool draining)
 {
     const endpoint_options& o = e.server->options();
+    const std::chrono::milliseconds cold_left = std::max(
+        std::chrono::ceil<std::chrono::milliseconds>(e.cold_until - core::runtime_clock::now()),
+        std::chrono::milliseconds(0));
     boost::json::value spec = boost::json::parse(encode_registration(
-        o.service.str(), e.address, e.domain, o.slots, draining, o.incarnation));
+        o.service.str(), e.address, e.domain, o.slots, draining, o.incarnation, cold_left));
     registrations_[o.endpoint.str()] = spec;
     store_.put({std::string(platform::endpoint_kind), o.endpoint.str()}, std::move(spec));
     if (draining) {
@@ -305,9 +320,44 @@
     e.server->restart(core::endpoint_id(old_name.substr(0, old_name.rfind('-') + 1) +
                                         std::to_string(e.incarnation)),
                       core::incarnation{e.incarnation});
+    if (options_.cold_endpoints) {
+        e.cold_until = core::runtime_clock::now() + cold_time;
+        checker_.on_endpoint_cold(e.server->options().endpoint, cold_per_second,
+                                  core::runtime_clock::now(), e.cold_until);
+        core::spawn(executor_, stay_cold(e));
+    }
     register_endpoint(e, false);
 }
 
+core::task<void> soak_site::stay_cold(endpoint& e)
+{
+    const std::uint64_t incarnation = e.incarnation;
+    const std::string name = e.server->options().endpoint.str();
+    while (core::runtime_clock::now() < e.cold_until) {
+        co_await core::sleep_for(cold_report_interval);
+        const auto registered = registrations_.find(name);
+        if (e.incarnation != incarnation || registered == registrations_.end()) {
+            co_return;
+        }
+        if (registered->second.at("phase").as_string() == "ready") {
+            register_endpoint(e, false);
+        }
+    }
+}
+
+core::task<void> soak_site::restart_endpoints()
+{
+    while (!environment_.stopping) {
+        co_await core::sleep_for(cold_restart_interval);
+        for (std::size_t i = 0; i < cold_restarts; ++i) {
+            endpoint& e = plain_endpoints_[random_() % plain_endpoints_.size()];
+            if (!e.crashed && registrations_.contains(e.server->options().endpoint.str())) {
+                restart_endpoint(e);
+            }
+        }
+    }
+}
+
 void soak_site::publish_configuration(declared_configuration changed)
 {
     store_.put(
@@ -335,7 +385,9 @@
 
 void soak_site::start()
 {
-    publish_configuration(initial_configuration(shape_));
+    declared_configuration initial = initial_configuration(shape_);
+    initial.cold_per_second = options_.cold_endpoints ? cold_per_second : 0;
+    publish_configuration(std::move(initial));
     for (std::vector<endpoint>* list : {&ranks_, &plain_endpoints_}) {
         for (const endpoint& e : *list) {
             register_endpoint(e, false);
@@ -352,6 +404,9 @@
 
 void soak_site::start_callers()
 {
+    if (options_.cold_endpoints) {
+        core::spawn(executor_, restart_endpoints());
+    }
     environment_.crashing_part = options_.crashing_part ? crashing_part_id : "";
     environment_.crashing_target_end = options_.crashing_request ? crashing_target_end : "";
     for (std::size_t i = 0; i < options_.callers; ++i) {
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -29,6 +29,8 @@
     bool crashing_part = false;
     /// Whether one request on each route crashes the endpoints that run it.
     bool crashing_request = false;
+    /// Whether endpoints are cold for a while when they come back, and some do so again and again.
+    bool cold_endpoints = false;
 };
 
 /// A complete site on loopback: the processes under test and, within this process, the store, the
@@ -63,6 +65,7 @@
         std::uint64_t incarnation = 1;
         /// A request has crashed the endpoint, and it is not back yet.
         bool crashed = false;
+        core::time_point cold_until;
     };
 
     std::vector<node>& gateways() { return gateways_; }
@@ -100,6 +103,10 @@
     core::task<void> crash_plain(std::size_t i, arrival a);
     void record_crash(const arrival& a);
     platform::standins::crash_trigger make_trigger(std::function<void(const arrival&)> crash) const;
+    /// Lets the endpoint be cold from now on and reports the remaining time to the store.
+    core::task<void> stay_cold(endpoint& e);
+    /// Restarts some endpoints together, again and again.
+    core::task<void> restart_endpoints();
     void build_link(endpoint& e, unsigned block, std::size_t i);
     template <class Handler>
     void listen(const core::asio::ip::tcp::endpoint& address, Handler& handler);
