Test two owners that do not reach each other, and an interrupted one

The test of two owners did not make the second one issue permits: it passed without the halved rate of an incomplete group. Now it fails without it, and a test fails without the pause after an interruption.

--- a/src/backpressure/tests/tst_coldendpoints.cpp
+++ b/src/backpressure/tests/tst_coldendpoints.cpp
@@ -138,10 +138,17 @@
     {
         gateways_[i]->frozen_until = now_ + time;
     }
-    std::size_t owner() const
+    void disconnect_all(std::size_t i)
+    {
+        for (std::size_t k = 0; k < gateways_.size(); ++k) {
+            disconnect(i, k);
+        }
+    }
+    /// An owner of the permits, other than the one given.
+    std::size_t owner(std::optional<std::size_t> other_than = std::nullopt) const
     {
         for (std::size_t i = 0; i < gateways_.size(); ++i) {
-            if (gateways_[i]->broker.owns(endpoint)) {
+            if (i != other_than && gateways_[i]->broker.owns(endpoint)) {
                 return i;
             }
         }
@@ -342,13 +349,15 @@
     fleet.connect_all();
     fleet.run_for(2s);
     const std::size_t owner = fleet.owner();
+    fleet.disconnect_all(owner);
+    fleet.run_for(200ms);
+    const std::size_t second = fleet.owner(owner);
     for (std::size_t k = 0; k < gateway_count; ++k) {
-        fleet.disconnect(owner, k);
-        if (k % 2 == 0) {
+        if (k != second) {
             fleet.connect(owner, k);
         }
-        fleet.run_for(50ms);
     }
+    CHECK(fleet.owner(second) == owner);
     fleet.run_for(3s);
     CHECK(fleet.most_in_a_second() <= allowed);
 }
@@ -372,6 +381,36 @@
     });
 }
 
+// A process that had been frozen went on issuing the permits that another one had taken over.
+TEST(cold_fleets, interrupted_owner_issues_permits_at_once)
+{
+    backpressure::permit_broker broker(core::host_id("g-0"));
+    broker.set_cold_bounds({1.5, 0});
+    core::time_point now{1h};
+    broker.set_registered({core::host_id("g-0")}, now);
+    backpressure::permit_request request;
+    request.endpoint = endpoint;
+    request.per_second = 3;
+    request.cold_for = 60s;
+    const auto granted = [&] {
+        return broker.request(request, now).own_offer.value().granted;
+    };
+    broker.on_running(now);
+    CHECK(granted());
+    now += 600ms;
+    broker.on_running(now);
+    now += 300ms;
+    CHECK(granted());
+    now += 5s;
+    CHECK(!granted());
+    for (core::duration passed{}; passed < backpressure::interruption_recovery; passed += 100ms) {
+        broker.on_running(now);
+        CHECK(!granted());
+        now += 100ms;
+    }
+    CHECK(granted());
+}
+
 TEST_GROUP(cold_signals)
 {
     backpressure::endpoint_signals signals;
