--- a/src/proxy/tests/tst_proxycontext.cpp
+++ b/src/proxy/tests/tst_proxycontext.cpp
@@ -1,3 +1,4 @@
+#include "core/eventlog.h"
 #include "proxy/proxycontext.h"
 
 #include "CppUTest/TestHarness.h"
@@ -70,3 +71,83 @@
     context.apply_endpoints();
     LONGS_EQUAL(0, starts());
 }
+
+TEST_GROUP(cold_contexts)
+{
+    core::asio::io_context io{1};
+    proxy::proxy_context context{io.get_executor(), core::failure_domain_id("fd"),
+                                 proxy::proxy_bounds{}, 1};
+    const core::service_id tutor{"tutor"};
+    const core::endpoint_id name{"a"};
+
+    void setup() override
+    {
+        core::silence_log();
+        context.bounds.cold_start = backpressure::cold_bounds{1.5, 5};
+    }
+    void register_endpoint(std::chrono::milliseconds cold_time_left, std::uint64_t revision)
+    {
+        directory::endpoint_record r;
+        r.endpoint = name;
+        r.service = tutor;
+        r.concurrency = 12;
+        r.incarnation = core::incarnation{1};
+        r.cold_time_left = cold_time_left;
+        context.cold_times.on_registered(r, core::revision{revision}, core::runtime_clock::now());
+        context.endpoints.apply(r);
+        context.apply_endpoints();
+    }
+    void configure(std::uint64_t version, std::optional<double> rate)
+    {
+        routes::configuration c;
+        c.version = routes::configuration_version{version};
+        routes::service_profile s;
+        s.service = tutor;
+        s.cold_requests_per_second = rate;
+        c.services = {s};
+        context.configuration.apply(std::move(c), core::boot_clock::now());
+        context.apply_endpoints();
+    }
+    std::optional<double> accepted_rate()
+    {
+        return context.signals.accepted_rate(name, core::runtime_clock::now());
+    }
+};
+
+// Endpoints are listed before the configuration that declares their rate.
+TEST(cold_contexts, endpoint_that_is_registered_first_is_unlimited)
+{
+    register_endpoint(60000ms, 1);
+    CHECK(!accepted_rate());
+    configure(1, 17);
+    CHECK(accepted_rate() == 17.0);
+    // An unreadable rate leaves the last valid one in force.
+    configure(2, std::nullopt);
+    register_endpoint(50000ms, 2);
+    CHECK(accepted_rate() == 17.0);
+    register_endpoint(0ms, 3);
+    CHECK(!accepted_rate());
+}
+
+TEST(cold_contexts, endpoint_without_a_setting_or_a_rate_is_limited)
+{
+    configure(1, 0);
+    register_endpoint(60000ms, 1);
+    CHECK(!accepted_rate());
+    context.bounds.cold_start.reset();
+    configure(2, 17);
+    register_endpoint(50000ms, 2);
+    context.on_connection_lost(*context.endpoints.find(name));
+    CHECK(!accepted_rate());
+}
+
+// An endpoint that starts again under its name is registered as before for a while.
+TEST(cold_contexts, endpoint_that_loses_a_connection_is_unlimited)
+{
+    configure(1, 17);
+    register_endpoint(0ms, 1);
+    context.on_connection_lost(*context.endpoints.find(name));
+    CHECK(accepted_rate() == 17.0);
+    register_endpoint(0ms, 2);
+    CHECK(!accepted_rate());
+}
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -64,6 +64,9 @@
 inline constexpr std::chrono::milliseconds mean_fault_interval{900};
 /// The same for each kind that is added to the faults of a seed.
 inline constexpr std::chrono::milliseconds mean_added_fault_interval{10000};
+/// Time for which an endpoint is cold, and requests per second that it accepts meanwhile.
+inline constexpr std::chrono::milliseconds cold_time{3000};
+inline constexpr double cold_per_second = 4;
 /// Mean pause of a caller between two requests.
 inline constexpr std::chrono::milliseconds mean_caller_pause{220};
 /// Ports of the site. Each process has a loopback address of its own.
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -44,14 +44,6 @@
 constexpr std::chrono::milliseconds max_own_lag{150};
 /// First number of the agents' store listeners. Those of the gateways have lower numbers.
 constexpr std::size_t first_agent_store_number = 100;
-/// Time for which an endpoint is cold, requests per second that it accepts meanwhile, and the
-/// interval at which it reports the remaining time.
-constexpr std::chrono::milliseconds cold_time{3000};
-constexpr double cold_per_second = 4;
-constexpr std::chrono::milliseconds cold_report_interval{1200};
-/// Interval at which some endpoints restart together, and their number.
-constexpr std::chrono::milliseconds cold_restart_interval{5000};
-constexpr std::size_t cold_restarts = 3;
 
 asio::ip::tcp::endpoint tcp_endpoint(const std::string& ip, std::uint16_t port)
 {
@@ -329,35 +321,6 @@
     register_endpoint(e, false);
 }
 
-core::task<void> soak_site::stay_cold(endpoint& e)
-{
-    const std::uint64_t incarnation = e.incarnation;
-    const std::string name = e.server->options().endpoint.str();
-    while (core::runtime_clock::now() < e.cold_until) {
-        co_await core::sleep_for(cold_report_interval);
-        const auto registered = registrations_.find(name);
-        if (e.incarnation != incarnation || registered == registrations_.end()) {
-            co_return;
-        }
-        if (registered->second.at("phase").as_string() == "ready") {
-            register_endpoint(e, false);
-        }
-    }
-}
-
-core::task<void> soak_site::restart_endpoints()
-{
-    while (!environment_.stopping) {
-        co_await core::sleep_for(cold_restart_interval);
-        for (std::size_t i = 0; i < cold_restarts; ++i) {
-            endpoint& e = plain_endpoints_[random_() % plain_endpoints_.size()];
-            if (!e.crashed && registrations_.contains(e.server->options().endpoint.str())) {
-                restart_endpoint(e);
-            }
-        }
-    }
-}
-
 void soak_site::publish_configuration(declared_configuration changed)
 {
     store_.put(
