--- a/src/backpressure/endpointsignals.h
+++ b/src/backpressure/endpointsignals.h
@@ -64,6 +64,10 @@
     bool on_cold_report(const core::endpoint_id& endpoint, core::incarnation incarnation,
                         double per_second, std::chrono::milliseconds cold_for,
                         core::time_point now);
+    /// Treats an endpoint as cold for a while that may have started again without being registered
+    /// anew yet. Peers are not told of it. Does not shorten a cold time.
+    void assume_cold(const core::endpoint_id& endpoint, core::incarnation incarnation,
+                     double per_second, std::chrono::milliseconds cold_for, core::time_point now);
     /// Forgets what an earlier incarnation of a registered endpoint has said.
     void on_registered(const core::endpoint_id& endpoint, core::incarnation incarnation);
     /// Forgets the endpoints that have not been registered for a while.
@@ -137,6 +141,8 @@
         double cold_per_second = 0;
         core::time_point cold_since;
         core::time_point cold_until;
+        /// The endpoint is not known to be cold, but may be.
+        bool cold_assumed = false;
         permit_state permit = permit_state::none;
         /// Time of the question, start of the permit, or time at which to ask again.
         core::time_point permit_at;
--- a/src/directory/tests/tst_coldtimes.cpp
+++ b/src/directory/tests/tst_coldtimes.cpp
@@ -75,3 +75,18 @@
     times.retain({});
     CHECK(!taken());
 }
+
+// An endpoint that had started again under its name, as all hosts had, was still registered as
+// before.
+TEST(cold_times, endpoint_of_the_first_listing_counts_as_warm_at_once)
+{
+    directory::endpoint_record record;
+    record.endpoint = name;
+    record.incarnation = core::incarnation{1};
+    times.on_first_listing(record, core::revision{1}, now);
+    CHECK(taken() == directory::renewal_time);
+    registered(0ms, 1);
+    CHECK(!taken());
+    registered(0ms, 2);
+    CHECK(taken() == 0ms);
+}
--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -96,7 +96,13 @@
         for (const objectstore::object& o : listing.objects) {
             const core::result<directory::endpoint_record> r = decode(o);
             if (r) {
-                context_.cold_times.on_registered(r.value(), o.version, core::runtime_clock::now());
+                const core::time_point now = core::runtime_clock::now();
+                if (listed_) {
+                    context_.cold_times.on_registered(r.value(), o.version, now);
+                }
+                else {
+                    context_.cold_times.on_first_listing(r.value(), o.version, now);
+                }
                 records.push_back(r.value());
             }
         }
--- a/src/gateway/signalexchange.cpp
+++ b/src/gateway/signalexchange.cpp
@@ -150,7 +150,7 @@
         return;
     }
     const core::time_point now = core::runtime_clock::now();
-    if (request.cold_for.count() > 0) {
+    if (request.cold_for.count() > 0 && !request.cold_assumed) {
         backpressure::reported_signal report;
         report.endpoint = request.endpoint;
         report.incarnation = request.incarnation;
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -132,6 +132,7 @@
     const directory::endpoint_record record = *found;
     core::result<http::client_connection> connection = co_await connect(record);
     if (!connection) {
+        context_.on_connection_lost(record);
         outcome.reason = "connect_failed";
         co_return outcome;
     }
@@ -172,6 +173,9 @@
     else {
         outcome = std::get<0>(std::move(first));
     }
+    if (outcome.connection_lost) {
+        context_.on_connection_lost(record);
+    }
     outcome.head_received = head_received_;
     outcome.progressed = progressed_;
     if (outcome.result == attempt_result::not_run) {
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -69,6 +69,9 @@
     void apply_endpoints();
     /// Records the cold times that are new and whose services are configured.
     void apply_cold_times();
+    /// Records that the endpoint refused or lost a connection, so that it may have started again
+    /// and be cold before it registers anew.
+    void on_connection_lost(const directory::endpoint_record& record);
     /// Records what a peer knows of a cold endpoint.
     void on_cold_report(const backpressure::reported_signal& report, const core::host_id& peer);
     /// Records what an endpoint's answer to this request says about the requests that it accepts.
