--- a/src/backpressure/backpressuremessages.h
+++ b/src/backpressure/backpressuremessages.h
@@ -63,11 +63,14 @@
     std::chrono::milliseconds cold_for{};
     /// Identifies the request among those of the sender.
     std::uint64_t number = 0;
+    /// The sender does not know that the endpoint is cold, but that it may be.
+    bool cold_assumed = false;
 };
 template <class Archive>
 void describe(Archive& archive, permit_request& m)
 {
-    archive(m.endpoint, m.per_second, m.max_wait, m.incarnation, m.cold_for, m.number);
+    archive(m.endpoint, m.per_second, m.max_wait, m.incarnation, m.cold_for, m.number,
+            m.cold_assumed);
 }
 
 /// Answers a permit_request.
--- a/src/backpressure/endpointsignals.cpp
+++ b/src/backpressure/endpointsignals.cpp
@@ -71,6 +71,7 @@
         s.permit = permit_state::none;
     }
     s.cold_per_second = std::clamp(per_second, min_request_limit, max_request_limit);
+    s.cold_assumed = false;
     s.cold_until = ends ? now : now + std::min<core::duration>(cold_for, max_cold_time);
     s.said_at = now;
     if (s.empty(now)) {
@@ -114,6 +115,19 @@
     return found == states_.end() ? std::nullopt : found->second.request_limit;
 }
 
+void endpoint_signals::assume_cold(const core::endpoint_id& endpoint, core::incarnation incarnation,
+                                   double per_second, std::chrono::milliseconds cold_for,
+                                   core::time_point now)
+{
+    const bool known_as_cold = report_of(endpoint, now).value_or(reported_signal{}).cold_for >
+                               std::chrono::milliseconds(0);
+    on_cold_report(endpoint, incarnation, per_second, cold_for, now);
+    const auto found = states_.find(endpoint);
+    if (found != states_.end()) {
+        found->second.cold_assumed = !known_as_cold;
+    }
+}
+
 std::chrono::milliseconds endpoint_signals::cold_for(const core::endpoint_id& endpoint,
                                                      core::time_point now) const
 {
@@ -171,12 +185,13 @@
                                                            const endpoint_state& s,
                                                            core::time_point now)
 {
-    if (!s.request_limit && !s.leaving && !s.cold(now)) {
+    const bool known_as_cold = s.cold(now) && !s.cold_assumed;
+    if (!s.request_limit && !s.leaving && !known_as_cold) {
         return std::nullopt;
     }
     reported_signal report{endpoint, s.incarnation, s.request_limit, s.leaving,
                            std::chrono::duration_cast<std::chrono::milliseconds>(now - s.said_at)};
-    if (s.cold(now)) {
+    if (known_as_cold) {
         report.cold_for = std::chrono::ceil<std::chrono::milliseconds>(s.cold_until - now);
         report.cold_per_second = s.cold_per_second;
     }
@@ -298,7 +313,7 @@
     s.permit_at = now;
     s.asked_number = ++last_number_;
     ask_for_permit({endpoint, *s.accepted_rate(now), max_wait, s.incarnation,
-                    cold_for(endpoint, now), s.asked_number});
+                    cold_for(endpoint, now), s.asked_number, s.cold_assumed});
 }
 
 bool endpoint_signals::on_offer(const permit_offer& offer, core::time_point now)
--- a/src/directory/coldtimes.cpp
+++ b/src/directory/coldtimes.cpp
@@ -1,5 +1,7 @@
 #include "directory/coldtimes.h"
 
+#include <algorithm>
+
 namespace currantpitch::directory {
 
 void cold_times::on_registered(const endpoint_record& record, const core::revision& written_at,
@@ -15,10 +17,19 @@
     if (!record.cold_time_left && same_incarnation) {
         until = found->second.time.until;
     }
-    states_[record.endpoint] = {{record.service, record.incarnation, until}, written_at};
+    states_[record.endpoint] = {{record.service, record.incarnation, until, false}, written_at};
     new_.insert(record.endpoint);
 }
 
+void cold_times::on_first_listing(const endpoint_record& record, const core::revision& written_at,
+                                  core::time_point now)
+{
+    on_registered(record, written_at, now);
+    cold_time& time = states_.at(record.endpoint).time;
+    time.assumed = time.until <= now;
+    time.until = std::max(time.until, now + renewal_time);
+}
+
 void cold_times::retain(const std::map<core::endpoint_id, endpoint_record>& registered)
 {
     const auto gone = [&registered](const core::endpoint_id& endpoint) {
--- a/src/directory/coldtimes.h
+++ b/src/directory/coldtimes.h
@@ -9,6 +9,9 @@
 
 namespace currantpitch::directory {
 
+/// Time within which an endpoint that has started again registers anew, until the registration is
+/// seen. It may start under the name that it had.
+inline constexpr std::chrono::milliseconds renewal_time{2000};
 /// Time for which an endpoint counts as cold whose first registration does not tell it.
 inline constexpr std::chrono::milliseconds unknown_cold_time{3000};
 
@@ -21,8 +24,14 @@
         core::service_id service;
         core::incarnation incarnation;
         core::time_point until;
+        /// The endpoint may have started again since its registration was written, and would be
+        /// cold.
+        bool assumed = false;
     };
 
+    /// Records a registration in the first listing after the start of this process.
+    void on_first_listing(const endpoint_record& record, const core::revision& written_at,
+                          core::time_point now);
     /// Records a registration, written at this revision of the store.
     void on_registered(const endpoint_record& record, const core::revision& written_at,
                        core::time_point now);
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -116,14 +116,27 @@
             }
             const double rate = service(cold.service).cold_requests_per_second;
             const core::duration left = rate > 0 ? cold.until - now : core::duration::zero();
-            if (signals.on_cold(endpoint, cold.incarnation, rate,
-                                std::chrono::ceil<std::chrono::milliseconds>(left), now)) {
+            const std::chrono::milliseconds cold_for =
+                std::chrono::ceil<std::chrono::milliseconds>(left);
+            if (cold.assumed && rate > 0) {
+                signals.assume_cold(endpoint, cold.incarnation, rate, cold_for, now);
+            }
+            else if (signals.on_cold(endpoint, cold.incarnation, rate, cold_for, now)) {
                 log_cold(endpoint, cold.incarnation, "store");
             }
             return true;
         });
 }
 
+void proxy_context::on_connection_lost(const directory::endpoint_record& record)
+{
+    const double rate = service(record.service).cold_requests_per_second;
+    if (bounds.cold_start && rate > 0) {
+        signals.assume_cold(record.endpoint, record.incarnation, rate, directory::renewal_time,
+                            core::runtime_clock::now());
+    }
+}
+
 void proxy_context::on_cold_report(const backpressure::reported_signal& report,
                                    const core::host_id& peer)
 {
--- a/tests/soak/soakconstants.h
+++ b/tests/soak/soakconstants.h
@@ -47,6 +47,10 @@
     /// Ratio of sound requests that may be refused because they are suspected of crashing
     /// endpoints.
     double max_suspected_ratio = 0.001;
+    /// A cold endpoint may get this multiple of its declared rate and some requests in addition
+    /// within any second, from all gateways together.
+    double cold_overshoot = 1.5;
+    double cold_tolerance = 5;
     /// Ratio of requests that must succeed after the last fault. The platform's documentation
     /// requires a quarter.
     double min_served_ratio = 0.9;
@@ -69,6 +73,9 @@
 inline constexpr std::chrono::milliseconds max_evacuation_pause{1500};
 /// Probability that the next evacuation begins before the end of the previous one.
 inline constexpr double evacuation_overlap_probability = 0.3;
+/// Time for which an endpoint is cold, and requests per second that it accepts meanwhile.
+inline constexpr std::chrono::milliseconds cold_time{3000};
+inline constexpr double cold_per_second = 4;
 /// Mean pause of a caller between two requests.
 inline constexpr std::chrono::milliseconds mean_caller_pause{220};
 /// Ports of the site. Each process has a loopback address of its own.
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -66,6 +66,8 @@
               << " request_crashes=" << checker.request_crashes()
               << " late_crashing_requests=" << checker.late_crashing_requests()
               << " evacuations=" << checker.evacuations().evacuations()
+              << " cold_requests=" << checker.cold_requests()
+              << " most_cold_in_second=" << checker.most_cold_requests()
               << " sound_suspected=" << checker.sound_suspected()
               << " peak_gateway_bytes=" << injector.peak_gateway_memory_bytes()
               << " switches=" << site.group().switches() << " served_after=" << served
@@ -127,6 +129,8 @@
                  "Let plain endpoints be slow and fast by turns");
     app.add_flag("--evacuation", options.site.evacuation,
                  "Let the operator evacuate one failure domain after the other");
+    app.add_flag("--cold-endpoints", options.site.cold_endpoints,
+                 "Let endpoints be cold when they come back, and restart some again and again");
     app.add_flag("--list", options.list, "Only print the faults of the seed");
     app.footer(
         "Exit codes: 0 if every guarantee held, 1 if one was violated; the findings name it.");
