Measure the time without a pass after the loss of a leader or holder

currantpitch-bench recovery runs layout_switch on simulated time with 12, 63, 72 and 129 ranks and lets the agent of the leader or of the holder freeze or end in each phase of a switch, with and without direct calls to silent agents' engines.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -7,6 +7,7 @@
 #include "decisions/limitsbench.h"
 #include "decisions/planningbench.h"
 #include "decisions/poptrace.h"
+#include "decisions/recoverybench.h"
 #include "decisions/routingbench.h"
 #include "decisions/slopesbench.h"
 
@@ -82,6 +83,11 @@
         "Layouts of 63 ranks with 8 layers of 252 experts: skew, copies and time of a plan.\n"
         "skew: load of the busiest rank over the mean; host_ms: time on a host with 0.15 of a core",
         bench::run_planning);
+    add("recovery",
+        "Seconds without a step after the agent of the leader, or of the rank that holds the step\n"
+        "of a switch, freezes for 4 s or is killed and back after 2 s, by phase of the switch,\n"
+        "with and without direct calls to the engines of silent agents",
+        bench::run_recovery);
     add("slopes", "Memory and time of each kind of state by number of items", bench::run_slopes);
     core::silence_log();
     CLI11_PARSE(app, argc, argv);
