Bound the rate of direct reads over all silent ranks

When all hosts start, a new leader finds most agents silent for a second or two and would read 63 engines each 120 ms on 0.15 of a core. The interval now grows with the number of engines: one read each 15 ms on average.

--- a/src/rankcontrol/directreach.h
+++ b/src/rankcontrol/directreach.h
@@ -166,8 +166,10 @@
         if (e->ended || e->order) {
             continue;
         }
-        const core::duration interval =
-            leader_.switch_under_way() ? status_interval : idle_direct_interval;
+        // Many agents are silent when all hosts start, and a leader's host may have 0.15 of a core.
+        const core::duration interval = std::max<core::duration>(
+            leader_.switch_under_way() ? status_interval : idle_direct_interval,
+            engines_.size() * direct_read_spacing);
         co_await e->wake.wait_until(core::runtime_clock::now() + interval);
     }
 }
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -72,6 +72,8 @@
 inline constexpr std::chrono::milliseconds agent_silence_limit{400};
 /// Interval at which the leader reads the state of such an engine while no switch is under way.
 inline constexpr std::chrono::milliseconds idle_direct_interval{500};
+/// Least mean time between two such reads, over all engines.
+inline constexpr std::chrono::milliseconds direct_read_spacing{15};
 /// Time after which the statuses of an agent that is back are used. The first ones may be older
 /// than the states that the leader read directly.
 inline constexpr std::chrono::milliseconds agent_return_time{2 * status_interval};
