Keep lifted evacuations lifted after a restore; count judged requests in the soak

A gateway that had seen the end of an evacuation took it back after the next restore from peers that had not seen the end. Each gateway now remembers the revision at which it saw an evacuation end, and reports of unconfirmed evacuations carry their revisions.

The soak counts the requests that were judged while an evacuation had to be in effect, since runs without any show nothing.

--- a/src/evacuation/evacuationmessages.h
+++ b/src/evacuation/evacuationmessages.h
@@ -31,7 +31,7 @@
     core::revision as_of;
     std::vector<reported_evacuation> evacuated;
     /// Evacuations from before a restore of the store that the store has not shown again.
-    std::vector<core::failure_domain_id> unconfirmed;
+    std::vector<reported_evacuation> unconfirmed;
     /// The time in which operators write again after the restore is over for the sender.
     bool rewritten = false;
 };
--- a/src/evacuation/evacuationset.cpp
+++ b/src/evacuation/evacuationset.cpp
@@ -17,7 +17,7 @@
         return;
     }
     for (const std::pair<const core::failure_domain_id, core::revision>& entry : evacuated_) {
-        unconfirmed_.insert(entry.first);
+        unconfirmed_.insert_or_assign(entry.first, entry.second);
     }
     evacuated_.clear();
     shown_.clear();
@@ -34,6 +34,9 @@
         if (known.second > at || unreadable_.contains(known.first)) {
             merged.insert(known);
         }
+        if (!merged.contains(known.first)) {
+            lifted_[known.first] = at;
+        }
     }
     evacuated_ = std::move(merged);
     for (const std::pair<const core::failure_domain_id, core::revision>& entry : evacuated_) {
@@ -60,9 +63,17 @@
     }
     replace(listed, at);
     if (!in_rewrite_period(now)) {
-        rewritten_ = true;
-        unconfirmed_.clear();
+        end_unconfirmed();
+    }
+}
+
+void evacuation_set::end_unconfirmed()
+{
+    rewritten_ = true;
+    for (const std::pair<const core::failure_domain_id, core::revision>& entry : unconfirmed_) {
+        lifted_[entry.first] = *as_of_;
     }
+    unconfirmed_.clear();
 }
 
 void evacuation_set::on_change(const core::failure_domain_id& domain, core::revision at,
@@ -85,6 +96,7 @@
     }
     else {
         evacuated_.erase(domain);
+        lifted_[domain] = *as_of_;
     }
 }
 
@@ -115,30 +127,31 @@
 {
     const bool same_era = report.as_of.era == as_of_->era;
     if (same_era && report.rewritten) {
-        rewritten_ = true;
-        unconfirmed_.clear();
+        end_unconfirmed();
     }
     if (!in_rewrite_period(now)) {
         return;
     }
-    std::set<core::failure_domain_id> earlier(report.unconfirmed.begin(), report.unconfirmed.end());
+    std::vector<reported_evacuation> earlier = report.unconfirmed;
     if (!same_era) {
-        for (const reported_evacuation& e : report.evacuated) {
-            earlier.insert(e.failure_domain);
-        }
+        earlier.insert(earlier.end(), report.evacuated.begin(), report.evacuated.end());
     }
-    for (const core::failure_domain_id& domain : earlier) {
-        if (!shown_.contains(domain)) {
-            unconfirmed_.insert(domain);
+    for (const reported_evacuation& e : earlier) {
+        const auto lifted = lifted_.find(e.failure_domain);
+        const bool ended = lifted != lifted_.end() && e.at <= lifted->second;
+        if (!ended && !shown_.contains(e.failure_domain)) {
+            unconfirmed_.emplace(e.failure_domain, e.at);
         }
     }
 }
 
 std::set<core::failure_domain_id> evacuation_set::evacuated() const
 {
-    std::set<core::failure_domain_id> domains = unconfirmed_;
-    for (const std::pair<const core::failure_domain_id, core::revision>& entry : evacuated_) {
-        domains.insert(entry.first);
+    std::set<core::failure_domain_id> domains;
+    for (const evacuation_versions* const part : {&evacuated_, &unconfirmed_}) {
+        for (const std::pair<const core::failure_domain_id, core::revision>& entry : *part) {
+            domains.insert(entry.first);
+        }
     }
     return domains;
 }
@@ -156,7 +169,9 @@
     for (const std::pair<const core::failure_domain_id, core::revision>& entry : evacuated_) {
         all.evacuated.push_back({entry.first, entry.second});
     }
-    all.unconfirmed.assign(unconfirmed_.begin(), unconfirmed_.end());
+    for (const std::pair<const core::failure_domain_id, core::revision>& entry : unconfirmed_) {
+        all.unconfirmed.push_back({entry.first, entry.second});
+    }
     all.rewritten = rewritten_;
     return all;
 }
--- a/src/evacuation/evacuationset.h
+++ b/src/evacuation/evacuationset.h
@@ -54,6 +54,8 @@
     void enter_era(core::store_era era, core::time_point now);
     /// Replaces the state by one that is complete up to a later revision.
     void replace(const evacuation_versions& evacuated, core::revision at);
+    /// Ends the evacuations that the store has not shown after rewrite_period.
+    void end_unconfirmed();
     void merge_unconfirmed(const evacuation_report& report, core::time_point now);
     bool in_rewrite_period(core::time_point now) const;
     bool newer_than_known(core::revision at) const { return !as_of_ || at > *as_of_; }
@@ -64,7 +66,10 @@
     /// Failure domains whose newest objects are malformed.
     std::set<core::failure_domain_id> unreadable_;
     /// Evacuations from before the era that the store has not shown in it.
-    std::set<core::failure_domain_id> unconfirmed_;
+    evacuation_versions unconfirmed_;
+    /// Revisions at which evacuations are known to have ended, also those before the era. A peer
+    /// that has not seen the end must not bring them back.
+    evacuation_versions lifted_;
     /// Failure domains whose objects the store has shown or deleted in this era.
     std::set<core::failure_domain_id> shown_;
     core::time_point era_seen_at_;
--- a/src/evacuation/tests/tst_evacuationset.cpp
+++ b/src/evacuation/tests/tst_evacuationset.cpp
@@ -205,3 +205,17 @@
     own.on_report(peer.report(), now);
     CHECK(own.evacuated() == domains{a});
 }
+
+// In the soak, peers that had not seen the end of an evacuation brought it back after a restore.
+TEST(evacuation_sets, lifted_evacuation_does_not_come_back_from_peers_after_a_restore)
+{
+    list(own, {{a, at(7)}}, at(7));
+    list(peer, {{a, at(7)}}, at(7));
+    own.on_change(a, at(8), false, now);
+    list(own, {}, at(5, 2));
+    own.on_report(peer.report(), now);
+    CHECK(own.evacuated().empty());
+    list(peer, {}, at(5, 2));
+    own.on_report(peer.report(), now);
+    CHECK(own.evacuated().empty());
+}
--- a/tests/soak/evacuationchecker.h
+++ b/tests/soak/evacuationchecker.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "core/runtimeclock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <string>
@@ -35,6 +36,14 @@
             domain == domains_.end() ? evacuated_.end() : evacuated_.find(domain->second);
         return evacuated != evacuated_.end() && at > evacuated->second + limit;
     }
+    /// Whether an evacuation must have taken effect by then.
+    bool any_in_effect(core::time_point at, std::chrono::milliseconds limit) const
+    {
+        return std::any_of(evacuated_.begin(), evacuated_.end(),
+                           [&](const std::pair<const std::string, core::time_point>& e) {
+                               return at > e.second + limit;
+                           });
+    }
     /// Number of evacuations so far.
     std::size_t evacuations() const { return evacuations_; }
 
--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -139,11 +139,7 @@
             add_finding("endpoint-signal", a.request, a.endpoint.str() + " " + finding);
         }
     }
-    if (!a.misdirected && evacuations_.is_late(a.endpoint, a.at, limits_.evacuate) &&
-        gateway_undisturbed(s.call.gateway, a.at - contact_margin, a.at)) {
-        add_finding("evacuation", a.request,
-                    a.endpoint.str() + " gateway=" + std::to_string(s.call.gateway));
-    }
+    check_evacuation(s, a);
     if (a.quiet_time.count() > 0) {
         endpoint_signals_.on_quiet(s.call.gateway, a.endpoint, a.quiet_time, a.at);
     }
@@ -152,6 +148,19 @@
     }
 }
 
+void guarantee_checker::check_evacuation(const call_state& s, const arrival& a)
+{
+    if (a.misdirected || !evacuations_.any_in_effect(a.at, limits_.evacuate) ||
+        !gateway_undisturbed(s.call.gateway, a.at - contact_margin, a.at)) {
+        return;
+    }
+    ++judged_in_evacuations_;
+    if (evacuations_.is_late(a.endpoint, a.at, limits_.evacuate)) {
+        add_finding("evacuation", a.request,
+                    a.endpoint.str() + " gateway=" + std::to_string(s.call.gateway));
+    }
+}
+
 void guarantee_checker::check_run(call_state& s, const arrival& a)
 {
     const sent_call& call = s.call;
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -109,6 +109,8 @@
     std::size_t refused() const { return refused_; }
     std::size_t failed() const { return failed_; }
     std::size_t undisturbed_calls() const { return undisturbed_calls_; }
+    /// Number of requests at endpoints that were checked while an evacuation had to be in effect.
+    std::size_t judged_in_evacuations() const { return judged_in_evacuations_; }
     /// Number of times that a part of a prompt crashed an endpoint.
     std::size_t part_crashes() const { return part_crashes_.size(); }
     /// Number of endpoints that requests crashed as a whole, and of the requests that reached
@@ -150,6 +152,7 @@
     bool allows(const configuration& c, const sent_call& call) const;
     bool allows_run(const configuration& c, const sent_call& call, const arrival& a) const;
     void check_run(call_state& s, const arrival& a);
+    void check_evacuation(const call_state& s, const arrival& a);
     void check_configuration(call_state& s, const arrival& a);
     void check_answer(call_state& s, const call_result& result);
     void check_gateway_answer(call_state& s, const call_result& result);
@@ -180,6 +183,7 @@
     std::size_t refused_ = 0;
     std::size_t failed_ = 0;
     std::size_t undisturbed_calls_ = 0;
+    std::size_t judged_in_evacuations_ = 0;
 };
 
 } // namespace currantpitch::soak
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -63,6 +63,7 @@
               << " request_crashes=" << checker.request_crashes()
               << " late_crashing_requests=" << checker.late_crashing_requests()
               << " evacuations=" << checker.evacuations().evacuations()
+              << " judged_in_evacuations=" << checker.judged_in_evacuations()
               << " sound_suspected=" << checker.sound_suspected()
               << " peak_gateway_bytes=" << injector.peak_gateway_memory_bytes()
               << " switches=" << site.group().switches() << " served_after=" << served
