--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -66,6 +66,7 @@
               << " request_crashes=" << checker.request_crashes()
               << " late_crashing_requests=" << checker.late_crashing_requests()
               << " evacuations=" << checker.evacuations().evacuations()
+              << " judged_in_evacuations=" << checker.judged_in_evacuations()
               << " cold_requests=" << checker.cold_requests()
               << " most_cold_in_second=" << checker.most_cold_requests()
               << " sound_suspected=" << checker.sound_suspected()
