Let refused callers return one after another, more urgent ones first

All refused callers of a service with free-running slots were told to return after 200 ms, so they came back together while nothing was free.

Where requests of several priorities use a service, overload::return_schedule spaces them by the rate at which the gateway can start requests of their priority, within 200 ms to 2 s. Otherwise the delay is as before.

--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -6,6 +6,7 @@
 #include "dispatch/dispatchmessages.h"
 #include "dispatch/loadreporttiming.h"
 #include "overload/priorityreserve.h"
+#include "overload/returnschedule.h"
 
 #include <map>
 #include <optional>
@@ -66,7 +67,8 @@
 class scheduler {
 public:
     scheduler(core::failure_domain_id own_domain, bool weigh_by_latency, std::uint64_t seed)
-        : own_domain_(std::move(own_domain)), weigh_by_latency_(weigh_by_latency), random_(seed)
+        : own_domain_(std::move(own_domain)), weigh_by_latency_(weigh_by_latency), random_(seed),
+          returns_(seed + 1)
     {
     }
 
@@ -144,6 +146,9 @@
     unsigned load_of(const core::endpoint_id& endpoint, core::time_point now);
     /// Time after which a retry is likely to find a free slot.
     std::chrono::milliseconds retry_after() const;
+    /// The same for a caller of the priority. Where requests of several priorities use the service,
+    /// callers that are refused one after another get successive times, more urgent ones first.
+    std::chrono::milliseconds retry_after(int priority, core::time_point now);
     /// Time after which a retry is likely to be admitted, if all endpoints limit their requests or
     /// want none for now.
     /// Callers that are refused one after another get successive times.
@@ -236,6 +241,7 @@
     std::set<waiting_request, by_urgency> waiting_;
     ticket last_ticket_;
     overload::priority_reserve reserve_;
+    overload::return_schedule returns_;
     /// Exponential moving average of service times, for estimating when a slot becomes free.
     double mean_service_ms_ = 0;
 };
--- a/src/dispatch/schedulershares.cpp
+++ b/src/dispatch/schedulershares.cpp
@@ -85,6 +85,16 @@
     reserve_.set_peer_load(std::move(sum));
 }
 
+std::chrono::milliseconds scheduler::retry_after(int priority, core::time_point now)
+{
+    const std::optional<overload::priority_reserve::decision> d = reserve_decision(priority, now);
+    if (!d) {
+        return retry_after();
+    }
+    const double starts = reserve_.expected_starts(priority, *d, std::chrono::seconds(1));
+    return returns_.delay(priority, reserve_.waiting(priority), starts, now);
+}
+
 std::map<core::service_id, overload::load_by_priority> loads_by_service(const load_report& report)
 {
     std::map<core::service_id, overload::load_by_priority> loads;
--- a/src/dispatch/tests/tst_priorityreplay.cpp
+++ b/src/dispatch/tests/tst_priorityreplay.cpp
@@ -182,7 +182,7 @@
     {
         ++figures_.refused[static_cast<std::size_t>(c.priority)];
         if (c.first) {
-            returning_.emplace(now_ + all_[g].retry_after(), c.priority);
+            returning_.emplace(now_ + all_[g].retry_after(c.priority, now_), c.priority);
         }
     }
     void return_callers()
--- a/src/overload/overloadconstants.h
+++ b/src/overload/overloadconstants.h
@@ -42,4 +42,8 @@
 /// Time that remains for the first event after a wait.
 inline constexpr std::chrono::milliseconds patience_margin{250};
 
+/// Bounds on the retry delay of a refused caller.
+inline constexpr std::chrono::milliseconds min_return_delay{200};
+inline constexpr std::chrono::milliseconds max_return_delay{2000};
+
 } // namespace currantpitch::overload
--- a/src/proxy/requestflow.h
+++ b/src/proxy/requestflow.h
@@ -347,7 +347,7 @@
     if (reason == endpoints_limited_reason) {
         return service_.queue.slot_scheduler().retry_after_limit(now);
     }
-    return service_.queue.slot_scheduler().retry_after();
+    return service_.queue.slot_scheduler().retry_after(routed_.priority(), now);
 }
 
 template <proxy_dialect Dialect>
