Take no answer with an impossible status from an endpoint

Cause: Beast accepts any three digits as a status, and the head went to the caller as it was. An endpoint in trouble that answered with the status 000 gave its caller that answer, also as the end of a call of the other front end and in its ledger; beside a header that says that nothing ran, a request that may run once was even sent again. Change: client_connection, which both front ends use, takes only final statuses, 200 to 599. The attempt counts as broken with the reason invalid_status: it may have run.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
+/// Statuses of final responses. No request asks for an interim one.
+constexpr unsigned min_final_status = 200;
+constexpr unsigned max_final_status = 599;
 
 beast::http::request<beast::http::string_body> to_beast(request message)
 {
@@ -37,11 +40,17 @@
     return out;
 }
 
+/// Decodes the head of a response. errc::malformed when its status is not that of a final response:
+/// Beast accepts any three digits.
 template <class Fields>
-response to_response_head(const Fields& message)
+core::result<response> to_response_head(const Fields& message)
 {
+    const unsigned status = message.result_int();
+    if (status < min_final_status || status > max_final_status) {
+        return error{errc::malformed, "impossible status " + std::to_string(status)};
+    }
     response head;
-    head.status = message.result_int();
+    head.status = status;
     for (const beast::http::fields::value_type& field : message) {
         head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
@@ -109,7 +118,11 @@
         co_return error{errc::closed, failure.message()};
     }
     answer_outstanding_ = false;
-    response received = to_response_head(parser.get());
+    core::result<response> head = to_response_head(parser.get());
+    if (!head) {
+        co_return head.error();
+    }
+    response received = std::move(head.value());
     received.body = std::move(parser.get().body());
     if (!parser.keep_alive()) {
         close();
--- a/src/http/tests/tst_clientconnection.cpp
+++ b/src/http/tests/tst_clientconnection.cpp
@@ -27,6 +27,17 @@
     }
 };
 
+core::task<void> call(asio::ip::tcp::endpoint address, core::result<http::response>& outcome)
+{
+    const core::time_point deadline = core::runtime_clock::now() + 1s;
+    http::client_connection client(co_await asio::this_coro::executor);
+    co_await client.connect(address, deadline);
+    http::request message;
+    message.method = "GET";
+    message.target = "/";
+    outcome = co_await client.exchange(std::move(message), deadline);
+}
+
 core::task<void> call_and_leave(asio::ip::tcp::endpoint address)
 {
     const core::time_point deadline = core::runtime_clock::now() + 100ms;
@@ -70,3 +81,20 @@
     CHECK(end_of_call("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext") == asio::error::eof);
     CHECK(end_of_call("HTTP/1.1 204 No Content\r\n\r\n") == asio::error::eof);
 }
+
+// The front end for agents takes whole answers: their status becomes the record of a call.
+TEST(client_connections, answer_with_an_impossible_status_is_an_error)
+{
+    for (const std::string status : {"000", "099", "100", "199", "600", "999"}) {
+        asio::io_context context{1};
+        raw_server server{
+            {context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)},
+            "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\ntext"};
+        core::result<http::response> outcome = core::error{core::errc::timeout, "not called"};
+        core::spawn(context.get_executor(), server.serve());
+        core::spawn(context.get_executor(), call(server.acceptor.local_endpoint(), outcome));
+        context.run_for(5s);
+        CHECK(!outcome);
+        CHECK(outcome.error().code == core::errc::malformed);
+    }
+}
--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -252,8 +252,9 @@
     for (int skipped = 0; skipped <= max_mismatched_answers; ++skipped) {
         core::result<http::response> head = co_await connection.read_head(core::time_point::max());
         if (!head) {
-            outcome.reason = "no_answer";
-            outcome.connection_lost = true;
+            const bool invalid = head.error().code == core::errc::malformed;
+            outcome.reason = invalid ? "invalid_status" : "no_answer";
+            outcome.connection_lost = !invalid;
             co_return outcome;
         }
         last_activity_ = core::runtime_clock::now();
--- a/src/proxy/tests/tst_troubledendpoints.cpp
+++ b/src/proxy/tests/tst_troubledendpoints.cpp
@@ -54,6 +54,50 @@
     CHECK(answer.find("text") == std::string::npos);
 }
 
+// An endpoint in trouble sent an answer with the status 000, and the caller got it.
+TEST(troubled_endpoints, answer_with_an_impossible_status_is_not_forwarded)
+{
+    configure(routes::retry_policy::at_most_once);
+    for (const std::string status : {"000", "099", "100", "199", "600", "999"}) {
+        answer.clear();
+        a.replies = {{"HTTP/1.1 " + status +
+                      " X\r\nId: 7\r\nGenuine: 1\r\nContent-Length: 8\r\n\r\nthe text"}};
+        send_request();
+        LONGS_EQUAL(502, this->status());
+        CHECK(answer.find("the text") == std::string::npos);
+    }
+}
+
+// The endpoint may have run the request, whatever else the answer says.
+TEST(troubled_endpoints, answer_with_an_impossible_status_does_not_prove_that_nothing_ran)
+{
+    configure(routes::retry_policy::at_most_once);
+    a.replies = {{"HTTP/1.1 000 X\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}};
+    send_request();
+    LONGS_EQUAL(502, this->status());
+    LONGS_EQUAL(1, received_requests());
+}
+
+TEST(troubled_endpoints, request_is_repeated_after_an_answer_with_an_impossible_status)
+{
+    configure(routes::retry_policy::idempotent);
+    a.replies = {{"HTTP/1.1 000 X\r\nId: 7\r\nGenuine: 1\r\nContent-Length: 5\r\n\r\nwrong"}};
+    b.replies = {{full_answer("7", "right")}};
+    send_request();
+    LONGS_EQUAL(200, this->status());
+    CHECK(answer.ends_with("right"));
+}
+
+TEST(troubled_endpoints, stream_with_an_impossible_status_is_not_relayed)
+{
+    configure(routes::retry_policy::one_shot_stream);
+    a.replies = {{"HTTP/1.1 000 X\r\nId: 7\r\nGenuine: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                  events(0, 2) + "0\r\n\r\n"}};
+    send_request();
+    LONGS_EQUAL(502, this->status());
+    CHECK(answer.find("data: x") == std::string::npos);
+}
+
 TEST(troubled_endpoints, second_copy_of_an_answer_is_not_given_to_the_next_caller)
 {
     configure(routes::retry_policy::at_most_once);
