--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -152,16 +152,13 @@
         address_text(ip, peer_port) + "\", metrics: \"" + address_text(ip, metrics_port) +
         "\"}\nrevocation_time: 5000ms\nretries: {ratio: 0.2, slack: " +
         std::to_string(guarantee_limits{}.retry_slack) + ", window: 10s}\n" +
-        (options_.uneven_endpoints ? "learn_capacity: true
-" : "") +
+        (options_.uneven_endpoints ? "learn_capacity: true\n" : "") +
         (options_.evacuation
-             ? "evacuation_time: " + std::to_string(guarantee_limits{}.evacuate.count()) + "ms
-"
+             ? "evacuation_time: " + std::to_string(guarantee_limits{}.evacuate.count()) + "ms\n"
              : "") +
         (options_.cold_endpoints
              ? "cold_start: {overshoot: " + std::to_string(guarantee_limits{}.cold_overshoot) +
-                   ", tolerance: " + std::to_string(guarantee_limits{}.cold_tolerance) + "}
-"
+                   ", tolerance: " + std::to_string(guarantee_limits{}.cold_tolerance) + "}\n"
              : "");
     node n = make_node(name, settings, i);
     const asio::ip::tcp::endpoint link = tcp_endpoint(loopback_ip(caller_block, i), proxy_port);
