--- a/src/proxy/endpointattempt.h
+++ b/src/proxy/endpointattempt.h
@@ -261,7 +261,7 @@
     const routes::service_profile* const profile = routed_.table->find_service(routed_.service);
     if (profile != nullptr && profile->engine &&
         routed_.table->priorities_differ(routed_.service)) {
-        call.priority = routed_.priority();
+        call.priority = routed_.engine_priority();
     }
     sent_at_ = core::runtime_clock::now();
     http::request message = Dialect::make_endpoint_request(routed_.request, call);
--- a/src/proxy/tests/tst_proxycontext.cpp
+++ b/src/proxy/tests/tst_proxycontext.cpp
@@ -1,5 +1,6 @@
 #include "core/eventlog.h"
 #include "proxy/proxycontext.h"
+#include "proxy/routedrequest.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -151,3 +152,46 @@
     register_endpoint(0ms, 2);
     CHECK(!accepted_rate());
 }
+
+TEST_GROUP(routed_requests)
+{
+    routes::route urgent;
+    routes::route patient;
+    routes::workspace first;
+    routes::workspace second;
+
+    void setup() override
+    {
+        urgent.priority = 0;
+        patient.priority = 2;
+        first.priority = 0;
+        second.priority = 1;
+    }
+    static proxy::routed_request request(const routes::route& r, const routes::workspace& w)
+    {
+        proxy::routed_request routed;
+        routed.route = &r;
+        routed.workspace = &w;
+        return routed;
+    }
+};
+
+// All workspaces of a deployment had the same priority, so that routes had none.
+TEST(routed_requests, priority_of_the_route_decides_among_workspaces_of_equal_priority)
+{
+    CHECK(request(urgent, second).priority() < request(patient, second).priority());
+    CHECK(request(urgent, second).engine_priority() < request(patient, second).engine_priority());
+}
+
+TEST(routed_requests, priority_of_the_workspace_comes_before_that_of_the_route)
+{
+    CHECK(request(patient, first).priority() < request(urgent, second).priority());
+    CHECK(request(patient, first).engine_priority() < request(urgent, second).engine_priority());
+}
+
+TEST(routed_requests, priority_of_the_route_stands_in_for_a_workspace_without_one)
+{
+    second.priority.reset();
+    CHECK(request(urgent, second).priority() < request(patient, second).priority());
+    CHECK(request(patient, first).priority() < request(patient, second).priority());
+}
