Reserve slots only where the routes of a service differ in priority

Cause: the reserve acted wherever requests of two priorities had been seen, and workspaces of two priorities exist on earlier deployments too. Change: the reserve is enabled by the configuration, for services whose routes differ in priority.

--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -88,6 +88,8 @@
         process_count_ = processes == 0 ? 1 : processes;
         report_lifetime_ = timing_for(process_count_).lifetime;
     }
+    /// Sets whether slots are reserved for more urgent requests.
+    void set_reserve_enabled(bool enabled) { reserve_.set_enabled(enabled); }
     /// Sets the limit of requests per endpoint. The lower one of this limit and an endpoint's
     /// concurrency is its number of slots in the calculation of the fair share and retry_after.
     void set_limit(double requests) { limit_ = requests; }
--- a/src/overload/priorityreserve.h
+++ b/src/overload/priorityreserve.h
@@ -36,8 +36,10 @@
     /// Replaces the sum of the peers' reports. Empty if no peer reports.
     void set_peer_load(load_by_priority peers);
 
-    /// Whether requests of at least two priorities have been seen.
-    bool active() const { return seen_.size() >= 2; }
+    /// Sets whether slots are reserved at all; true at first.
+    void set_enabled(bool enabled) { enabled_ = enabled; }
+    /// Whether it is enabled and requests of at least two priorities have been seen.
+    bool active() const { return enabled_ && seen_.size() >= 2; }
     /// Whether no requests of a more urgent priority have been seen.
     bool most_urgent(int priority) const;
     /// Whether a request of the priority may take a slot.
@@ -78,6 +80,7 @@
     load_by_priority peers_;
     /// Demand after its latest rise. Declines slowly.
     std::map<int, held_demand> held_;
+    bool enabled_ = true;
 };
 
 } // namespace currantpitch::overload
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -63,6 +63,9 @@
     state.concurrency_controller.set_concurrency(engine ? profile->engine->concurrency
                                                         : unlimited_concurrency);
     state.queue.slot_scheduler().set_limit(state.concurrency_controller.limit());
+    // Operators ask for reserves by routes of different priorities. Priorities of workspaces alone
+    // only order the requests that wait.
+    state.queue.slot_scheduler().set_reserve_enabled(table && table->priorities_differ(name));
     if (profile == nullptr || profile->cold_requests_per_second) {
         state.cold_requests_per_second =
             profile == nullptr ? 0 : *profile->cold_requests_per_second;
--- a/src/proxy/tests/tst_proxycontext.cpp
+++ b/src/proxy/tests/tst_proxycontext.cpp
@@ -56,6 +56,27 @@
     LONGS_EQUAL(12, starts());
 }
 
+// Guards against reserves on deployments whose operators have not asked for them.
+TEST(proxy_contexts, slots_are_reserved_only_where_routes_of_the_service_differ_in_priority)
+{
+    for (const int second_priority : {1, 2}) {
+        routes::configuration c;
+        c.version = routes::configuration_version{static_cast<std::uint64_t>(second_priority)};
+        for (const int priority : {1, second_priority}) {
+            routes::route r;
+            r.priority = priority;
+            r.services.push_back({tutor, 1});
+            c.routes.push_back(r);
+        }
+        context.configuration.apply(std::move(c), core::boot_clock::now());
+        register_endpoint();
+        dispatch::scheduler& scheduler = context.service(tutor).queue.slot_scheduler();
+        scheduler.on_arrival(10, core::runtime_clock::now());
+        scheduler.on_arrival(11, core::runtime_clock::now());
+        CHECK_EQUAL(second_priority == 2, scheduler.reserve().active());
+    }
+}
+
 TEST(proxy_contexts, endpoints_without_engines_use_all_slots)
 {
     register_endpoint();
