--- a/src/directory/endpointdirectory.h
+++ b/src/directory/endpointdirectory.h
@@ -23,8 +23,8 @@
     /// Maximum number of requests that run at the same time.
     unsigned concurrency = 1;
     bool draining = false;
-    /// Remaining time for which the endpoint accepts few requests, as after its start. Empty if it
-    /// could not be read.
+    /// Remaining time for which the endpoint accepts few requests, as after its start. Empty if the
+    /// registration does not tell it.
     std::optional<std::chrono::milliseconds> cold_time_left{std::chrono::milliseconds(0)};
     /// Distinguishes incarnations registered under the same name. Zero when it is not reported.
     core::incarnation incarnation;
