Take back the longer distance to the step of a switch

Cause: with the step of a switch at least 450 ms ahead layouts came later, while demand moves to other experts every two to four seconds.

--- a/src/rankcontrol/layoutswitch.cpp
+++ b/src/rankcontrol/layoutswitch.cpp
@@ -101,10 +101,10 @@
 
 std::uint64_t layout_switch::lead_steps() const
 {
-    const core::duration step = step_time_ > core::duration{} ? step_time_ : usual_step_time;
-    const core::duration expected =
-        std::clamp<core::duration>(expected_arming_time_ * 3 / 2, min_arming_time, max_lead_time);
-    return min_lead_steps + static_cast<std::uint64_t>(expected / step);
+    if (step_time_ <= core::duration{}) {
+        return min_lead_steps;
+    }
+    return min_lead_steps + static_cast<std::uint64_t>(expected_arming_time_ / step_time_);
 }
 
 core::step_number layout_switch::choose_step() const
@@ -119,10 +119,10 @@
                                phase_ == switch_phase::holding;
     const bool ended = p == switch_phase::releasing || p == switch_phase::idle;
     if (was_under_way && ended) {
-        // The expected time rises at once and falls by at most a tenth for each switch, so that
-        // quick switches do not hide a slow one.
+        // The expected time rises at once and falls by at most a quarter for each switch, so that
+        // one quick switch does not hide a slow one.
         expected_arming_time_ = std::min<core::duration>(
-            std::max(now - step_chosen_at_, expected_arming_time_ * 9 / 10), max_lead_time);
+            std::max(now - step_chosen_at_, expected_arming_time_ * 3 / 4), max_lead_time);
     }
     phase_ = p;
     phase_since_ = now;
--- a/src/rankcontrol/rankcontrolconstants.h
+++ b/src/rankcontrol/rankcontrolconstants.h
@@ -60,11 +60,6 @@
 /// Steps between the current one and the first step of a new layout, in addition to the steps that
 /// arming takes.
 inline constexpr std::uint64_t min_lead_steps = 2;
-/// Least time that arming is expected to take: an order to hold and an order to arm, of which one
-/// gets no answer once and the other one twice.
-inline constexpr std::chrono::milliseconds min_arming_time{3 * engine_call_timeout};
-/// Time of a step before it is known.
-inline constexpr std::chrono::milliseconds usual_step_time{60};
 /// Maximum time that a layout is armed ahead of its switch, because demand shifts meanwhile.
 inline constexpr std::chrono::milliseconds max_lead_time{1500};
 /// Time without a status from a rank's agent after which the leader reaches the rank's engine
