--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -350,6 +350,28 @@
     record("platform: starts " + g.name);
 }
 
+void site::change_settings(const std::string& name, const std::string& value)
+{
+    for (const std::unique_ptr<gateway>& g : gateways_) {
+        std::ifstream before(g->settings_file);
+        std::string text;
+        std::string line;
+        while (std::getline(before, line)) {
+            text += (line.rfind(name + ":", 0) == 0 ? name + ": " + value : line) + "\n";
+        }
+        before.close();
+        std::ofstream(g->settings_file) << text;
+    }
+    record("platform: the settings of all gateways hold " + name + ": " + value);
+}
+
+void site::stop(gateway& g)
+{
+    record("platform: SIGTERM to " + g.name);
+    g.stopping = true;
+    ::kill(g.pid, SIGTERM);
+}
+
 task<void> site::keep_running(gateway& g)
 {
     start(g);
@@ -369,10 +391,11 @@
             if (::waitpid(g.pid, &status, WNOHANG) != g.pid) {
                 continue;
             }
-            ++g.own_ends;
-            record("platform: " + g.name + " ended by itself, " +
+            g.own_ends += g.stopping ? 0 : 1;
+            record("platform: " + g.name + (g.stopping ? " has stopped, " : " ended by itself, ") +
                    (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                         : "code " + std::to_string(WEXITSTATUS(status))));
+            g.stopping = false;
         }
         g.pid = 0;
         co_await pause_for(restart_delay);
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -92,6 +92,8 @@
     int own_ends = 0;
     int memory_ends = 0;
     std::size_t peak_bytes = 0;
+    /// The platform has sent SIGTERM.
+    bool stopping = false;
 };
 
 /// A small deployment on loopback. Starts the gateways as separate processes with the command of
@@ -105,6 +107,10 @@
     void add_gateway();
     /// Writes the configuration and returns when the store has acknowledged it.
     void configure(json::object limits, json::array tenants);
+    /// Changes a setting of all gateways: the line that begins with the name.
+    void change_settings(const std::string& name, const std::string& value);
+    /// Sends SIGTERM. The platform starts the process again when it has ended.
+    void stop(gateway& g);
     /// Ends a gateway that uses more memory, as the platform does; 0 is no limit.
     void limit_memory(std::size_t bytes) { memory_limit_ = bytes; }
 
