--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -247,18 +247,19 @@
     return probe.local_endpoint().port();
 }
 
-void site::configure(json::object limits, json::array tenants)
+void site::configure(json::object limits, json::array tenants, bool look_is_public)
 {
-    const auto route = [](const char* prefix, const char* type, int attempts) {
+    const auto route = [](const char* prefix, const char* type, int attempts, bool is_public) {
         return json::object{
-            {"name", prefix}, {"hostname", "site.example"}, {"path_prefix", prefix},
-            {"type", type},   {"timeout_ms", 8000},         {"target_latency_ms", 500},
-            {"priority", 1},  {"service", "desk"},          {"max_attempts", attempts},
-            {"public", false}};
+            {"name", prefix},     {"hostname", "site.example"}, {"path_prefix", prefix},
+            {"type", type},       {"timeout_ms", 8000},         {"target_latency_ms", 500},
+            {"priority", 1},      {"service", "desk"},          {"max_attempts", attempts},
+            {"public", is_public}};
     };
     json::object c;
     c["version"] = version_ += 3;
-    c["routes"] = {route("/look/", "idempotent", 2), route("/book/", "non_idempotent", 1)};
+    c["routes"] = {route("/look/", "idempotent", 2, look_is_public),
+                   route("/book/", "non_idempotent", 1, false)};
     c["services"] = {json::object{{"name", "desk"},
                                   {"health_path", "/healthz"},
                                   {"max_conns", 248},
@@ -267,8 +268,9 @@
     c["limits"] = std::move(limits);
     c["tenants"] = std::move(tenants);
     store_.put("config", "main", c);
-    record("operator: version " + std::to_string(version_) + " acknowledged, limits " +
-           json::serialize(c["limits"]) + ", tenants " + json::serialize(c["tenants"]));
+    record("operator: version " + std::to_string(version_) + " acknowledged, /look/ " +
+           (look_is_public ? "public" : "not public") + ", limits " + json::serialize(c["limits"]) +
+           ", tenants " + json::serialize(c["tenants"]));
 }
 
 void site::add_replica(replica r)
@@ -433,14 +435,13 @@
         a.method = request->word(0);
         a.target = request->word(1);
         a.body_bytes = request->body.size();
-        a.has_tenant = !request->header("x-currantpitch-tenant").empty();
+        a.tenant = request->header("x-currantpitch-tenant");
         a.at = now();
         const std::string expected = request->header("x-currantpitch-expected-replica");
         a.runs = expected.empty() || expected == r.id;
         record("replica " + r.id + ": " + a.id + " " + a.method + " " + a.target + ", " +
                std::to_string(a.body_bytes) + " bytes, tenant " +
-               (a.has_tenant ? request->header("x-currantpitch-tenant") : "none") +
-               (a.runs ? ", runs" : ", 421"));
+               (a.tenant.empty() ? "none" : a.tenant) + (a.runs ? ", runs" : ", 421"));
         if (!a.runs) {
             if (!co_await c.write(misdirected_answer(a, r.id))) {
                 co_return;
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -60,7 +60,7 @@
     std::string target;
     std::size_t body_bytes = 0;
     bool runs = false;
-    bool has_tenant = false;
+    std::string tenant;
     double at = 0;
 };
 
@@ -106,7 +106,7 @@
     void add_replica(replica r);
     void add_gateway();
     /// Writes the configuration and returns when the store has acknowledged it.
-    void configure(json::object limits, json::array tenants);
+    void configure(json::object limits, json::array tenants, bool look_is_public = false);
     /// Changes a setting of all gateways: the line that begins with the name.
     void change_settings(const std::string& name, const std::string& value);
     /// Sends SIGTERM. The platform starts the process again when it has ended.
