Read bounds that are fractions, and start with any number of a setting

Cause: the reader of the settings took whole numbers only before a unit, while the platform's bounds may be fractions and the templates append a unit to them. A number outside the range of its setting, and a bound without a value, ended the start in the same way. A running process showed nothing unless it got SIGHUP.

Evidence: exit code 2 with the finding for stop_timeout and no start_failed line. In turn, grace_s in both roles, revoke_ms, retry_window_s and evacuate_ms fail as fractions; retry_budget_ratio, budget_slack and the bounds of cold endpoints do not.

Change: settings/numbers reads all numbers, whole, as a fraction or in scientific notation, for both programs. The time of revocation has no minimum any more, as a longer one would let keys work too long. A running process looks at its file each 5 s and shows settings_invalid while the next start would fail.

--- a/src/apps/currantpitchd/main.cpp
+++ b/src/apps/currantpitchd/main.cpp
@@ -4,6 +4,7 @@
 #include "endpoints/httpservice.h"
 #include "entry/entrynode.h"
 #include "settings/daemonsettings.h"
+#include "settings/settingswatch.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
@@ -19,27 +20,29 @@
 
 /// Runs a node until SIGTERM or SIGINT, then performs its planned stop.
 template <class Node>
-int run_node(const settings::daemon_settings& settings)
+int run_node(const settings::daemon_settings& settings, const std::string& path)
 {
     core::asio::io_context context{1};
     std::random_device entropy;
     const std::uint64_t seed = (static_cast<std::uint64_t>(entropy()) << 32 | entropy()) | 1;
     Node node(context.get_executor(), settings, seed);
-    const auto on_reload = [] {
-        core::log_event("reload").field("applied", "at the next start");
-    };
-    return core::run_node(context, node, on_reload) ? exit_ok : exit_failed;
+    settings::settings_watch watch(
+        path, settings::read_settings, [](const settings::daemon_settings&) {
+            core::log_event("reload").field("applied", "at the next start");
+        });
+    core::spawn(context.get_executor(), watch.run());
+    return core::run_node(context, node, [&watch] { watch.reload(); }) ? exit_ok : exit_failed;
 }
 
-int run(const settings::daemon_settings& settings)
+int run(const settings::daemon_settings& settings, const std::string& path)
 {
     if (settings.role == settings::process_role::entry) {
-        return run_node<entry::entry_node>(settings);
+        return run_node<entry::entry_node>(settings, path);
     }
     if (settings.endpoint == settings::endpoint_type::engine) {
-        return run_node<agent::agent_node<endpoints::http_engine>>(settings);
+        return run_node<agent::agent_node<endpoints::http_engine>>(settings, path);
     }
-    return run_node<agent::agent_node<endpoints::http_service>>(settings);
+    return run_node<agent::agent_node<endpoints::http_service>>(settings, path);
 }
 
 } // namespace
@@ -66,10 +69,12 @@
         return exit_invalid_settings;
     }
     if (!check_file.empty()) {
-        std::cout << path << ": no findings\n";
-        return exit_ok;
+        std::cout << (report.adjustments.empty() ? path + ": no findings\n"
+                                                 : core::to_text(report.adjustments));
+        return report.adjustments.empty() ? exit_ok : exit_invalid_settings;
     }
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    return run(*report.settings);
+    settings::log_adjustments(report.adjustments);
+    return run(*report.settings, path);
 }
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -1,8 +1,7 @@
 #include "settings/daemonsettings.h"
 
 #include "settings/internal/yamlreader.h"
-
-#include <charconv>
+#include "settings/settingsfile.h"
 
 namespace currantpitch::settings {
 
@@ -46,7 +45,8 @@
     if (!document) {
         return report;
     }
-    yaml_reader root(*document, "", file_name, report.problems);
+    document_findings found;
+    yaml_reader root(*document, "", file_name, found);
     daemon_settings s;
     const bool is_entry = root.required_choice("role", {"entry", "agent"}) == 0;
     s.host = core::host_id(root.required_text("host"));
@@ -61,6 +61,8 @@
         read_agent(root, s);
     }
     root.finish();
+    report.problems = std::move(found.problems);
+    report.adjustments = std::move(found.adjustments);
     if (report.problems.empty()) {
         report.settings = std::move(s);
     }
@@ -74,26 +76,4 @@
     return text ? read_settings(*text, path) : report;
 }
 
-std::optional<std::chrono::milliseconds> parse_duration(const std::string& text)
-{
-    constexpr std::int64_t max_count = 1'000'000'000;
-    std::int64_t count = 0;
-    const char* const end = text.data() + text.size();
-    const std::from_chars_result parsed = std::from_chars(text.data(), end, count);
-    if (parsed.ec != std::errc() || count < 0 || count > max_count) {
-        return std::nullopt;
-    }
-    const std::string unit(parsed.ptr, end);
-    if (unit == "ms") {
-        return std::chrono::milliseconds(count);
-    }
-    if (unit == "s") {
-        return std::chrono::seconds(count);
-    }
-    if (unit == "m") {
-        return std::chrono::minutes(count);
-    }
-    return std::nullopt;
-}
-
 } // namespace currantpitch::settings
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -43,9 +43,11 @@
     core::endpoint_id endpoint_name;
 };
 
-/// Result of reading settings: all findings, and the settings if there are no findings.
+/// Result of reading settings: what cannot be read, the numbers that were moved into the range of
+/// their setting, and the settings if there are no problems.
 struct settings_report {
     core::findings problems;
+    core::findings adjustments;
     std::optional<daemon_settings> settings;
 };
 
@@ -55,7 +57,4 @@
 /// Reads settings from a file. A file that cannot be read is reported as a finding.
 settings_report load_settings(const std::string& path);
 
-/// Parses a duration such as "500ms", "10s" or "2m". Returns nullopt if the text is not a duration.
-std::optional<std::chrono::milliseconds> parse_duration(const std::string& text);
-
 } // namespace currantpitch::settings
--- a/src/settings/internal/yamlreader.cpp
+++ b/src/settings/internal/yamlreader.cpp
@@ -1,16 +1,17 @@
 #include "settings/internal/yamlreader.h"
 
+#include "settings/numbers.h"
 #include "wire/framedconnection.h"
 
-#include <charconv>
-#include <fstream>
+#include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace currantpitch::settings {
 
 yaml_reader::yaml_reader(YAML::Node node, std::string path, std::string file,
-                         core::findings& problems)
-    : node_(std::move(node)), path_(std::move(path)), file_(std::move(file)), problems_(&problems)
+                         document_findings& found)
+    : node_(std::move(node)), path_(std::move(path)), file_(std::move(file)), found_(&found)
 {
 }
 
@@ -25,14 +26,25 @@
     return const_node[field];
 }
 
-void yaml_reader::report(const YAML::Node& node, const std::string& field,
-                         const std::string& message)
+core::finding yaml_reader::finding_at(const YAML::Node& node, const std::string& field,
+                                      const std::string& message) const
 {
     const YAML::Mark mark = node.IsDefined() ? node.Mark() : node_.Mark();
     const int line = mark.is_null() ? 1 : mark.line + 1;
     const int column = mark.is_null() ? 1 : mark.column + 1;
     const std::string location = file_ + ":" + std::to_string(line) + ":" + std::to_string(column);
-    problems_->push_back({location, path_ + field + ": " + message});
+    return {location, path_ + field + ": " + message};
+}
+
+void yaml_reader::report(const YAML::Node& node, const std::string& field,
+                         const std::string& message)
+{
+    found_->problems.push_back(finding_at(node, field, message));
+}
+
+void yaml_reader::report_adjustment(const std::string& field, const std::string& message)
+{
+    found_->adjustments.push_back(finding_at(child(field), field, message));
 }
 
 std::optional<std::string> yaml_reader::scalar(const std::string& field, bool required)
@@ -102,18 +114,19 @@
     if (!text) {
         return default_value;
     }
-    const std::optional<std::chrono::milliseconds> parsed = parse_duration(*text);
+    const std::optional<real_milliseconds> parsed = parse_real_duration(*text);
     if (!parsed) {
-        report(child(field), field, "must be a duration such as 500ms, 10s or 2m");
+        report(child(field), field, "must be a duration such as 500ms, 8.5s or 2m");
         return default_value;
     }
-    if (*parsed < min_duration || *parsed > max_duration) {
-        report(child(field), field,
-               "must be between " + std::to_string(min_duration.count()) + "ms and " +
-                   std::to_string(max_duration.count()) + "ms");
-        return default_value;
+    const real_milliseconds used =
+        std::clamp<real_milliseconds>(*parsed, min_duration, max_duration);
+    if (used != *parsed) {
+        report_adjustment(field, *text + " is not between " + std::to_string(min_duration.count()) +
+                                     "ms and " + std::to_string(max_duration.count()) +
+                                     "ms; the nearest of them is used");
     }
-    return *parsed;
+    return whole_milliseconds(used);
 }
 
 unsigned yaml_reader::optional_number(const std::string& field, unsigned default_value,
@@ -123,17 +136,14 @@
     if (!text) {
         return default_value;
     }
-    unsigned number = 0;
-    const char* const end = text->data() + text->size();
-    const std::from_chars_result parsed = std::from_chars(text->data(), end, number);
-    const bool is_fully_parsed = parsed.ec == std::errc() && parsed.ptr == end;
-    if (!is_fully_parsed || number < min_value || number > max_value) {
+    const std::optional<double> number = parse_real(*text);
+    if (!number || std::trunc(*number) != *number || *number < min_value || *number > max_value) {
         report(child(field), field,
                "must be a whole number from " + std::to_string(min_value) + " to " +
                    std::to_string(max_value));
         return default_value;
     }
-    return number;
+    return static_cast<unsigned>(*number);
 }
 
 double yaml_reader::optional_real(const std::string& field, double default_value, double min_value,
@@ -143,17 +153,19 @@
     if (!text) {
         return default_value;
     }
-    double number = 0;
-    const char* const end = text->data() + text->size();
-    const std::from_chars_result parsed = std::from_chars(text->data(), end, number);
-    const bool is_fully_parsed = parsed.ec == std::errc() && parsed.ptr == end;
-    if (!is_fully_parsed || !(number >= min_value && number <= max_value)) {
-        std::ostringstream bounds;
-        bounds << "must be a number from " << min_value << " to " << max_value;
-        report(child(field), field, bounds.str());
+    const std::optional<double> number = parse_real(*text);
+    std::ostringstream range;
+    range << "from " << min_value << " to " << max_value;
+    if (!number) {
+        report(child(field), field, "must be a number " + range.str());
         return default_value;
     }
-    return number;
+    const double used = std::clamp(*number, min_value, max_value);
+    if (used != *number) {
+        report_adjustment(field, *text + " is not a number " + range.str() +
+                                     "; the nearest of them is used");
+    }
+    return used;
 }
 
 bool yaml_reader::optional_flag(const std::string& field, bool default_value)
@@ -192,9 +204,9 @@
     const YAML::Node section = child(field);
     if (!section.IsDefined() || !section.IsMap()) {
         report(section, field, "must be a mapping");
-        return yaml_reader(YAML::Node(YAML::NodeType::Map), path_ + field + ".", file_, *problems_);
+        return yaml_reader(YAML::Node(YAML::NodeType::Map), path_ + field + ".", file_, *found_);
     }
-    return yaml_reader(section, path_ + field + ".", file_, *problems_);
+    return yaml_reader(section, path_ + field + ".", file_, *found_);
 }
 
 std::optional<yaml_reader> yaml_reader::optional_section(const std::string& field)
@@ -231,16 +243,4 @@
     }
 }
 
-std::optional<std::string> read_text_file(const std::string& path, core::findings& problems)
-{
-    std::ifstream file(path);
-    if (!file) {
-        problems.push_back({path, "cannot be read"});
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 } // namespace currantpitch::settings
--- a/src/settings/nodesettings.cpp
+++ b/src/settings/nodesettings.cpp
@@ -1,6 +1,7 @@
 #include "settings/nodesettings.h"
 
 #include "settings/internal/yamlreader.h"
+#include "settings/settingsfile.h"
 
 namespace currantpitch::settings {
 
@@ -16,10 +17,10 @@
     s.caller_address = listen.required_address("callers");
     s.directory_address = listen.required_address("directory");
     s.readiness_address = listen.required_address("readiness");
-    s.revocation_time = root.optional_duration("revocation_time", s.revocation_time,
-                                               min_revocation_time, max_stop_timeout);
+    s.revocation_time =
+        root.optional_duration("revocation_time", s.revocation_time, {}, max_revocation_time);
     const std::chrono::milliseconds evacuation_time =
-        root.optional_duration("evacuation_time", {}, min_evacuation_time, max_stop_timeout);
+        root.optional_duration("evacuation_time", {}, min_evacuation_time, max_evacuation_time);
     if (evacuation_time.count() > 0) {
         s.evacuation_time = evacuation_time;
     }
@@ -28,7 +29,7 @@
     s.retry_ratio = retries.optional_real("ratio", s.retry_ratio, 0, max_retry_ratio);
     s.retry_slack = retries.optional_real("slack", s.retry_slack, 0, max_retry_slack);
     s.retry_window =
-        retries.optional_duration("window", s.retry_window, min_retry_window, max_stop_timeout);
+        retries.optional_duration("window", s.retry_window, min_retry_window, max_retry_window);
     retries.finish();
     std::optional<yaml_reader> cold_start = root.optional_section("cold_start");
     if (cold_start) {
@@ -49,7 +50,8 @@
     if (!document) {
         return report;
     }
-    yaml_reader root(*document, "", file_name, report.problems);
+    document_findings found;
+    yaml_reader root(*document, "", file_name, found);
     node_settings s;
     const bool is_gateway = root.required_choice("role", {"gateway", "rank-agent"}) == 0;
     s.role = is_gateway ? node_role::gateway : node_role::rank_agent;
@@ -72,6 +74,8 @@
     }
     listen.finish();
     root.finish();
+    report.problems = std::move(found.problems);
+    report.adjustments = std::move(found.adjustments);
     if (report.problems.empty()) {
         report.settings = std::move(s);
     }
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -35,7 +35,8 @@
     address caller_address;
     address directory_address;
     address readiness_address;
-    /// Gateways only: time within which a revoked key must be rejected everywhere.
+    /// Gateways only: time within which a revoked key must be rejected everywhere. If it is shorter
+    /// than the store's answers take, requests with keys are refused.
     std::chrono::milliseconds revocation_time{5000};
     /// Gateways only: limit on the retries of a service's requests by all gateways together. Within
     /// retry_window, retry_ratio retries are allowed for each request and retry_slack in addition.
@@ -58,8 +59,11 @@
     core::service_id service;
 };
 
+/// Result of reading settings: what cannot be read, the numbers that were moved into the range of
+/// their setting, and the settings if there are no problems.
 struct node_settings_report {
     core::findings problems;
+    core::findings adjustments;
     std::optional<node_settings> settings;
 };
 
--- a/src/settings/settingsconstants.h
+++ b/src/settings/settingsconstants.h
@@ -16,13 +16,17 @@
 inline constexpr unsigned default_ledger_shards = 16;
 inline constexpr unsigned max_ledger_shards = 4096;
 
-/// Minimum time for a key revocation to take effect everywhere. It must cover several round trips
-/// to the store.
-inline constexpr std::chrono::milliseconds min_revocation_time{1000};
-/// Minimum time for the evacuation of a failure domain to take effect everywhere. It must cover the
-/// detection of a lost answer of the store.
+/// Maximum time for a key revocation to take effect everywhere. There is no minimum: keys must not
+/// be valid for longer than the operator allows.
+inline constexpr std::chrono::minutes max_revocation_time{60};
+/// Range of the time for the evacuation of a failure domain to take effect everywhere. It must
+/// cover the detection of a lost answer of the store.
 inline constexpr std::chrono::milliseconds min_evacuation_time{3000};
-/// Minimum window over which retries are counted.
-inline constexpr std::chrono::milliseconds min_retry_window{1000};
+inline constexpr std::chrono::minutes max_evacuation_time{60};
+/// Range of the window over which retries are counted.
+inline constexpr std::chrono::milliseconds min_retry_window{1};
+inline constexpr std::chrono::hours max_retry_window{24};
+/// Interval at which a running process looks for changes of its settings file.
+inline constexpr std::chrono::seconds settings_check_interval{5};
 
 } // namespace currantpitch::settings
--- a/src/settings/tests/tst_settings.cpp
+++ b/src/settings/tests/tst_settings.cpp
@@ -1,4 +1,5 @@
 #include "settings/daemonsettings.h"
+#include "settings/numbers.h"
 
 #include "support/rapidcheck.h"
 
@@ -70,6 +71,17 @@
     });
 }
 
+// A number of shards that the entries do not share would split the ledger.
+TEST(settings_file, number_of_shards_is_never_adjusted)
+{
+    for (const char* const number : {"0", "5000", "16.5", "many", "-1"}) {
+        const std::string text = std::string(entry_text) + "ledger_shards: " + number + "\n";
+        CHECK_TEXT(!settings::read_settings(text, "d.yaml").settings, number);
+    }
+    const std::string text = std::string(entry_text) + "ledger_shards: 3.2e1\n";
+    LONGS_EQUAL(32, settings::read_settings(text, "d.yaml").settings->ledger_shards);
+}
+
 TEST(settings_file, times_need_a_unit)
 {
     CHECK(settings::parse_duration("250ms") == 250ms);
