Ask for a key wherever workspaces are declared, even if none is left

Cause: the decoded configuration held one list for "no workspaces declared", "an empty list" and "a list of which nothing could be read", and an empty one opened the routes.

Evidence: configuration_in_force names the new version, and a key that no version held runs as well, so that neither a version that is not applied nor a cache explains it.

Change: the list is optional and only its absence opens the routes. access_to_routes is open, keys or closed; the log has it for each configuration that comes into force, from the store or from a peer, and access_closed is a metric. While the newest configuration cannot be read, the one in force is not confirmed as current, so that its keys end with the revocation time.

--- a/src/gateway/feedsinks.h
+++ b/src/gateway/feedsinks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/counters.h"
 #include "core/eventlog.h"
 #include "gateway/entryroster.h"
 #include "gateway/siteplatform.h"
@@ -26,13 +27,22 @@
         on_listed();
     }
     void on_change(const objectstore::object& o) { apply(o, {}); }
-    void on_confirmed_current(core::boot_time t) { context_.configuration.confirm_current(t); }
+    /// While the newest configuration is unreadable, the one in force is not known to be current,
+    /// so that its keys are no longer accepted beyond the revocation time.
+    void on_confirmed_current(core::boot_time t)
+    {
+        if (!newest_unreadable_) {
+            context_.configuration.confirm_current(t);
+        }
+    }
     void on_store_recovered() {}
     /// Applies the configuration that a peer has in force if it is newer.
     void apply_copy(const std::string& text, const core::host_id& peer)
     {
-        if (apply_text(text, {})) {
-            core::log_event("configuration_copied").field("version", version()).field("peer", peer);
+        if (apply_text(text, {}) == reading::applied) {
+            core::log_event event("configuration_copied");
+            add_state(event);
+            event.field("peer", peer);
         }
     }
 
@@ -55,33 +65,50 @@
         if (o.deleted || o.key != Site::configuration_key()) {
             return;
         }
-        if (apply_text(o.body, current_as_of)) {
-            core::log_event("configuration_in_force")
-                .field("version", version())
-                .field("revision", o.version)
-                .field("routes", context_.configuration.table()->route_count())
-                .field("workspaces", context_.configuration.table()->workspace_count());
+        const reading result = apply_text(o.body, current_as_of);
+        newest_unreadable_ = result == reading::unreadable;
+        core::gauge_for("configuration_unreadable").set(newest_unreadable_ ? 1 : 0);
+        if (result == reading::applied) {
+            core::log_event event("configuration_in_force");
+            add_state(event);
+            event.field("revision", o.version);
         }
     }
-    bool apply_text(const std::string& text, core::boot_time current_as_of)
+    enum class reading { unreadable, not_newer, applied };
+    reading apply_text(const std::string& text, core::boot_time current_as_of)
     {
         core::result<routes::configuration> decoded = Site::decode_configuration(text);
         if (!decoded) {
             core::log_event("configuration_unreadable", core::log_event::level::error)
+                .field("in_force", version())
                 .field("reason", decoded.error().detail);
-            return false;
+            return reading::unreadable;
         }
         if (!context_.configuration.apply(std::move(decoded.value()), current_as_of)) {
-            return false;
+            return reading::not_newer;
         }
         text_ = text;
+        const routes::access access = context_.configuration.table()->access_to_routes();
+        core::gauge_for("access_closed").set(access == routes::access::closed ? 1 : 0);
         on_change_();
-        return true;
+        return reading::applied;
+    }
+    /// Adds what is in force.
+    void add_state(core::log_event& event) const
+    {
+        const routes::route_table& table = *context_.configuration.table();
+        event.field("version", table.version())
+            .field("routes", table.route_count())
+            .field("access", routes::to_string(table.access_to_routes()))
+            .field("workspaces", table.workspace_count())
+            .field("workspaces_unreadable", table.unreadable_workspace_count());
     }
 
     proxy::proxy_context& context_;
     std::function<void()> on_change_;
     std::string text_;
+    /// The store's newest configuration could not be read.
+    bool newest_unreadable_ = false;
 };
 
 /// Applies the registered endpoints from the store.
--- a/src/proxy/requesthandler.h
+++ b/src/proxy/requesthandler.h
@@ -48,7 +48,7 @@
         return {std::nullopt, {503, "stopping", std::nullopt}};
     }
     const routes::workspace* workspace = nullptr;
-    if (table->has_workspaces() && !route->allow_anonymous) {
+    if (table->access_to_routes() != routes::access::open && !route->allow_anonymous) {
         // Checked after the request was read, so that a key that was revoked before the request
         // was sent is not accepted for longer than the bound.
         if (context_.configuration.age() > context_.bounds.max_configuration_age) {
--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -245,7 +245,7 @@
             routes::workspace w;
             w.name = core::workspace_id("w");
             w.keys = {"k"};
-            c.workspaces = {w};
+            c.workspaces = std::vector{w};
         }
         shared.configuration.apply(std::move(c), core::boot_clock::now());
         register_endpoint(a, core::incarnation{last_incarnation});
--- a/src/routes/routetable.cpp
+++ b/src/routes/routetable.cpp
@@ -32,6 +32,19 @@
     return "one_shot_stream";
 }
 
+std::string_view to_string(access a)
+{
+    switch (a) {
+    case access::open:
+        return "open";
+    case access::keys:
+        return "keys";
+    case access::closed:
+        break;
+    }
+    return "closed";
+}
+
 std::optional<std::chrono::milliseconds>
 configuration::target_gap_of(const core::service_id& service) const
 {
@@ -58,9 +71,11 @@
             }
         }
     }
-    for (const workspace& w : accepted_.workspaces) {
-        for (const std::string& key : w.keys) {
-            by_key_.emplace(key, &w);
+    if (accepted_.workspaces) {
+        for (const workspace& w : *accepted_.workspaces) {
+            for (const std::string& key : w.keys) {
+                by_key_.emplace(key, &w);
+            }
         }
     }
     for (const service_profile& s : accepted_.services) {
@@ -86,6 +101,14 @@
     return nullptr;
 }
 
+access route_table::access_to_routes() const
+{
+    if (!accepted_.workspaces) {
+        return access::open;
+    }
+    return by_key_.empty() ? access::closed : access::keys;
+}
+
 const workspace* route_table::workspace_of_key(const std::string& key) const
 {
     const auto found = by_key_.find(key);
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -95,6 +95,14 @@
     std::optional<int> priority;
 };
 
+/// Who may use the routes that require a key.
+enum class access {
+    open,   ///< no workspaces are declared: everybody, without a key
+    keys,   ///< callers that have a key of a workspace
+    closed, ///< workspaces are declared and no key is known: nobody
+};
+std::string_view to_string(access a);
+
 /// Limits on the requests of callers.
 struct caller_limits {
     std::size_t header_bytes = std::size_t{16} * 1024;
@@ -107,7 +115,11 @@
     configuration_version version;
     std::vector<route> routes;
     std::vector<service_profile> services;
-    std::vector<workspace> workspaces;
+    /// The workspaces that could be read. Not set only if the operator declares none at all; an
+    /// empty list, or one of which nothing could be read, lets nobody in.
+    std::optional<std::vector<workspace>> workspaces;
+    /// Number of workspaces and keys that were left out as unreadable.
+    std::size_t unreadable_workspaces = 0;
     caller_limits limits;
 
     /// Returns the minimum target gap of the service's streams, or nullopt when it has no streams.
@@ -126,9 +138,13 @@
     const caller_limits& limits() const { return accepted_.limits; }
     const std::vector<service_profile>& services() const { return accepted_.services; }
     std::size_t route_count() const { return accepted_.routes.size(); }
-    std::size_t workspace_count() const { return accepted_.workspaces.size(); }
-    /// Whether any workspaces are configured. Without them, requests need no key.
-    bool has_workspaces() const { return !accepted_.workspaces.empty(); }
+    std::size_t workspace_count() const
+    {
+        return accepted_.workspaces ? accepted_.workspaces->size() : 0;
+    }
+    std::size_t unreadable_workspace_count() const { return accepted_.unreadable_workspaces; }
+    /// Who may use the routes that do not allow anonymous requests.
+    access access_to_routes() const;
 
     /// Returns the route of the host with the longest prefix of the path, or nullptr when none
     /// matches.
--- a/src/routes/tests/tst_routes.cpp
+++ b/src/routes/tests/tst_routes.cpp
@@ -35,7 +35,7 @@
         routes::workspace w;
         w.name = core::workspace_id("mali-koderi");
         w.keys = {"k1", "k2"};
-        accepted.workspaces = {w};
+        accepted.workspaces = std::vector{w};
     }
 };
 
@@ -63,6 +63,18 @@
     CHECK(table.workspace_of_key("k3") == nullptr);
 }
 
+// Guards against a configuration without keys that is taken for one that needs none.
+TEST(route_tables, only_undeclared_workspaces_open_the_routes)
+{
+    CHECK(routes::route_table(accepted).access_to_routes() == routes::access::keys);
+    accepted.workspaces->front().keys.clear();
+    CHECK(routes::route_table(accepted).access_to_routes() == routes::access::closed);
+    accepted.workspaces->clear();
+    CHECK(routes::route_table(accepted).access_to_routes() == routes::access::closed);
+    accepted.workspaces.reset();
+    CHECK(routes::route_table(accepted).access_to_routes() == routes::access::open);
+}
+
 // Engines get priorities only where they make a difference.
 TEST(route_tables, services_whose_routes_differ_in_priority_are_known)
 {
