Parse heads in the connection's task and without the library's 64 KiB limit

What callers saw: with a max_header_bytes of 131,072, one proper request with a field of 75,000 bytes ended the gateway by signal 6; everything it had passed on was closed without an answer.

Cause: Beast's container of fields throws above 64 KiB, and its reads parse in a completion handler of the event loop, where nothing contains an exception.

Evidence: on the old code a field of 65,533 bytes passes and one of 65,534 ends the process (length_error, field value too large); any name does it. On related paths: a trailer of an endpoint's answer ends the process with any settings; a Content-Length of 900 GB under a limit of 1 TiB ends it by bad_alloc; a max_header_bytes of 2^32 becomes zero and refuses everything; a long field throws again as it is written.

Change: Beast's parser writes into our own messages, bytes are parsed in the connection's task, and an exception there fails this one message, counted and logged. Heads are written by an encoder of our own. The caller of a refused message is read on for a moment, so that the refusal arrives.

--- a/src/core/eventlog.cpp
+++ b/src/core/eventlog.cpp
@@ -82,7 +82,9 @@
     }
     line_.append(key);
     line_ += '=';
-    line_ += needs_quotes(value) ? quote(value) : std::string(value);
+    const std::string_view shown = value.substr(0, max_field_bytes);
+    line_ += needs_quotes(shown) ? quote(shown) : std::string(shown);
+    line_ += shown.size() < value.size() ? "..." : "";
     return *this;
 }
 
--- a/src/core/eventlog.h
+++ b/src/core/eventlog.h
@@ -9,10 +9,12 @@
 
 /// One log line of key=value pairs, written when the object goes out of scope. Empty values and
 /// values with spaces, quotes, equals signs, backslashes, tabs or line breaks are quoted. In quoted
-/// values, quotes and backslashes are escaped and control characters are replaced by spaces.
+/// values, quotes and backslashes are escaped and control characters are replaced by spaces. Values
+/// above max_field_bytes are cut: some hold what callers have sent.
 class log_event {
 public:
     enum class level { info, warning, error };
+    static constexpr std::size_t max_field_bytes = 2048;
 
     explicit log_event(std::string_view event, level severity = level::info);
     log_event(const log_event&) = delete;
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -1,13 +1,15 @@
 #include "http/clientconnection.h"
 
 #include "http/httpconstants.h"
+#include "http/internal/headencoder.h"
+#include "http/internal/messageparser.h"
+#include "http/internal/messagereader.h"
 #include "wire/framedconnection.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <array>
 
 namespace currantpitch::http {
 
@@ -18,42 +20,21 @@
 
 namespace {
 
-constexpr std::size_t read_buffer_bytes = 8 * 1024;
 /// Statuses of final responses. No request asks for an interim one.
 constexpr unsigned min_final_status = 200;
 constexpr unsigned max_final_status = 599;
 
-beast::http::request<beast::http::string_body> to_beast(request message)
-{
-    beast::http::request<beast::http::string_body> out;
-    out.method_string(message.method);
-    out.target(message.target);
-    out.version(11);
-    if (!message.header_value("Host")) {
-        out.set(beast::http::field::host, "currantpitch");
-    }
-    for (const header& h : message.headers) {
-        out.insert(h.name, h.value);
-    }
-    out.body() = std::move(message.body);
-    out.prepare_payload();
-    return out;
-}
+using response_parser = message_parser<false>;
 
-/// Decodes the head of a response. errc::malformed when its status is not that of a final response:
-/// Beast accepts any three digits.
-template <class Fields>
-core::result<response> to_response_head(const Fields& message)
+/// Takes the head of a response. errc::malformed when its status is not that of a final response:
+/// the parser accepts any three digits.
+core::result<response> take_head(response_parser& parser)
 {
-    const unsigned status = message.result_int();
+    const unsigned status = parser.message().status;
     if (status < min_final_status || status > max_final_status) {
         return error{errc::malformed, "impossible status " + std::to_string(status)};
     }
-    response head;
-    head.status = status;
-    for (const beast::http::fields::value_type& field : message) {
-        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
+    response head = std::move(parser.message());
     head.content_type = head.header_value("Content-Type").value_or("");
     return head;
 }
@@ -81,21 +62,19 @@
     asio::ip::tcp::socket socket_;
 
 private:
-    using stream_parser = beast::http::response_parser<beast::http::buffer_body>;
-
     beast::flat_buffer buffer_{max_unparsed_bytes};
-    std::optional<stream_parser> stream_;
+    std::optional<response_parser> stream_;
     /// A request or a part of one was sent whose answer has not been read completely.
     bool answer_outstanding_ = false;
 };
 
 core::task<core::result<void>> client_connection::implementation::send(request message)
 {
-    beast::http::request<beast::http::string_body> out = to_beast(std::move(message));
+    const std::string head = encode_request_head(message);
+    const std::array<asio::const_buffer, 2> bytes{asio::buffer(head), asio::buffer(message.body)};
     answer_outstanding_ = true;
     boost::system::error_code failure;
-    co_await beast::http::async_write(socket_, out,
-                                      asio::redirect_error(asio::use_awaitable, failure));
+    co_await asio::async_write(socket_, bytes, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
         co_return error{errc::closed, failure.message()};
     }
@@ -108,22 +87,21 @@
     if (!sent) {
         co_return sent.error();
     }
-    beast::http::response_parser<beast::http::string_body> parser;
+    response_parser parser(response_parser::body_use::collected);
+    parser.eager(true);
     parser.body_limit(max_response_bytes);
     parser.header_limit(static_cast<std::uint32_t>(max_head_bytes));
-    boost::system::error_code failure;
-    co_await beast::http::async_read(socket_, buffer_, parser,
-                                     asio::redirect_error(asio::use_awaitable, failure));
+    const boost::system::error_code failure =
+        co_await read_until(socket_, buffer_, parser, [&parser] { return parser.is_done(); });
     if (failure) {
         co_return error{errc::closed, failure.message()};
     }
     answer_outstanding_ = false;
-    core::result<response> head = to_response_head(parser.get());
-    if (!head) {
-        co_return head.error();
+    core::result<response> received = take_head(parser);
+    if (!received) {
+        co_return received.error();
     }
-    response received = std::move(head.value());
-    received.body = std::move(parser.get().body());
+    received.value().body = parser.take_body();
     if (!parser.keep_alive()) {
         close();
     }
@@ -141,38 +119,31 @@
 
 core::task<core::result<response>> client_connection::implementation::read_head()
 {
-    stream_.emplace();
+    stream_.emplace(response_parser::body_use::taken_in_pieces);
     stream_->body_limit(boost::none);
     stream_->header_limit(static_cast<std::uint32_t>(max_head_bytes));
-    boost::system::error_code failure;
-    co_await beast::http::async_read_header(socket_, buffer_, *stream_,
-                                            asio::redirect_error(asio::use_awaitable, failure));
+    const boost::system::error_code failure = co_await read_until(
+        socket_, buffer_, *stream_, [this] { return stream_->is_header_done(); });
     if (failure) {
         co_return error{errc::closed, failure.message()};
     }
     answer_outstanding_ = !stream_->is_done();
-    co_return to_response_head(stream_->get());
+    co_return take_head(*stream_);
 }
 
 core::task<core::result<std::string>> client_connection::implementation::read_some()
 {
     // A read that consumes only a chunk header returns no bytes of the body. This is not the end of
     // the body.
-    while (stream_ && !stream_->is_done()) {
-        std::string piece(read_buffer_bytes, '\0');
-        stream_->get().body().data = piece.data();
-        stream_->get().body().size = piece.size();
-        boost::system::error_code failure;
-        co_await beast::http::async_read_some(socket_, buffer_, *stream_,
-                                              asio::redirect_error(asio::use_awaitable, failure));
-        if (failure && failure != beast::http::error::need_buffer) {
+    if (stream_ && !stream_->is_done()) {
+        const boost::system::error_code failure =
+            co_await read_until(socket_, buffer_, *stream_,
+                                [this] { return stream_->is_done() || stream_->has_body_bytes(); });
+        if (failure) {
             co_return error{errc::closed, failure.message()};
         }
         answer_outstanding_ = !stream_->is_done();
-        piece.resize(piece.size() - stream_->get().body().size);
-        if (!piece.empty()) {
-            co_return piece;
-        }
+        co_return stream_->take_body();
     }
     co_return std::string();
 }
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -5,8 +5,6 @@
 
 namespace currantpitch::http {
 
-namespace {
-
 bool equal_ignoring_case(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
@@ -14,6 +12,8 @@
     });
 }
 
+namespace {
+
 std::optional<std::string> find_header(const std::vector<header>& headers, std::string_view name)
 {
     for (const header& h : headers) {
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -38,6 +38,9 @@
     std::optional<std::string> header_value(std::string_view name) const;
 };
 
+/// Compares names of header fields.
+bool equal_ignoring_case(std::string_view a, std::string_view b);
+
 /// Encodes all bytes other than letters, digits and "-._~" as %XX.
 std::string percent_encode(std::string_view text);
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -1,11 +1,15 @@
 #include "http/serverconnection.h"
 
 #include "http/httpconstants.h"
+#include "http/internal/headencoder.h"
+#include "http/internal/messageparser.h"
+#include "http/internal/messagereader.h"
 
 #include <sys/socket.h>
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <array>
+
+#include <boost/beast/core/tcp_stream.hpp>
 
 namespace currantpitch::http {
 
@@ -14,6 +18,17 @@
 using core::errc;
 using core::error;
 
+namespace {
+
+bool is_too_large(const boost::system::error_code& failure)
+{
+    return failure == beast::http::error::body_limit ||
+           failure == beast::http::error::header_limit ||
+           failure == beast::http::error::buffer_overflow;
+}
+
+} // namespace
+
 class server_connection::implementation {
 public:
     explicit implementation(asio::ip::tcp::socket socket) : stream_(std::move(socket))
@@ -35,7 +50,11 @@
     server_limits limits_;
 
 private:
+    core::task<core::result<void>> send(response answer);
+    /// Answers a request that was not read completely and closes the connection.
     core::task<void> refuse(unsigned status, std::string reason);
+    /// Reads what the caller still sends, until it closes the connection.
+    core::task<void> discard_input();
 
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_{max_unparsed_bytes};
@@ -43,14 +62,16 @@
 
 core::task<core::result<request>> server_connection::implementation::read_request()
 {
-    beast::http::request_parser<beast::http::string_body> parser;
-    parser.body_limit(limits_.body_bytes);
-    parser.header_limit(static_cast<std::uint32_t>(limits_.head_bytes));
+    message_parser<true> parser(message_parser<true>::body_use::collected);
+    parser.eager(true);
+    parser.body_limit(std::min(limits_.body_bytes, max_configurable_body_bytes));
+    const std::size_t head_bytes = std::min(limits_.head_bytes, max_configurable_head_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(head_bytes));
+    buffer_.max_size(std::max({max_unparsed_bytes, head_bytes, buffer_.size()}));
     stream_.expires_after(limits_.idle_timeout);
-    boost::system::error_code failure;
-    co_await beast::http::async_read(stream_, buffer_, parser,
-                                     asio::redirect_error(asio::use_awaitable, failure));
-    if (failure == beast::http::error::body_limit || failure == beast::http::error::header_limit) {
+    const boost::system::error_code failure =
+        co_await read_until(stream_, buffer_, parser, [&parser] { return parser.is_done(); });
+    if (is_too_large(failure)) {
         co_await refuse(413, "message too large");
         co_return error{errc::too_large, failure.message()};
     }
@@ -66,61 +87,38 @@
         co_await refuse(400, failure.message());
         co_return error{errc::malformed, failure.message()};
     }
-    const beast::http::request<beast::http::string_body>& message = parser.get();
-    keep_alive_ = message.keep_alive() && !close_after_response_;
-    request received;
-    received.method = std::string(message.method_string());
-    received.target = std::string(message.target());
-    received.body = message.body();
-    for (const beast::http::fields::value_type& field : message) {
-        received.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    keep_alive_ = parser.keep_alive() && !close_after_response_;
+    if (buffer_.size() == 0 && buffer_.capacity() > max_kept_buffer_bytes) {
+        buffer_.shrink_to_fit();
     }
+    request received = std::move(parser.message());
+    received.body = parser.take_body();
     co_return received;
 }
 
+core::task<core::result<void>> server_connection::implementation::send(response answer)
+{
+    std::string bytes = encode_response_head(answer, response_framing::with_length, keep_alive_);
+    if (!never_has_body(answer.status)) {
+        bytes += answer.body;
+    }
+    return write(std::move(bytes));
+}
+
 core::task<core::result<void>> server_connection::implementation::reply(response answer)
 {
     keep_alive_ = keep_alive_ && !close_after_response_;
-    beast::http::response<beast::http::string_body> message(
-        static_cast<beast::http::status>(answer.status), 11);
-    if (!answer.content_type.empty()) {
-        message.set(beast::http::field::content_type, answer.content_type);
-    }
-    for (const header& h : answer.headers) {
-        message.insert(h.name, h.value);
-    }
-    message.keep_alive(keep_alive_);
-    message.body() = std::move(answer.body);
-    message.prepare_payload();
-    stream_.expires_after(write_timeout);
-    boost::system::error_code failure;
-    co_await beast::http::async_write(stream_, message,
-                                      asio::redirect_error(asio::use_awaitable, failure));
-    if (failure || !keep_alive_) {
+    const core::result<void> sent = co_await send(std::move(answer));
+    if (!keep_alive_) {
         close();
     }
-    if (failure) {
-        co_return error{errc::closed, failure.message()};
-    }
-    co_return core::ok();
+    co_return sent;
 }
 
 core::task<core::result<void>> server_connection::implementation::begin_stream(const response& head)
 {
     keep_alive_ = keep_alive_ && !close_after_response_;
-    beast::http::response<beast::http::empty_body> message(
-        static_cast<beast::http::status>(head.status), 11);
-    if (!head.content_type.empty()) {
-        message.set(beast::http::field::content_type, head.content_type);
-    }
-    for (const header& h : head.headers) {
-        message.insert(h.name, h.value);
-    }
-    message.keep_alive(keep_alive_);
-    message.chunked(true);
-    std::ostringstream text;
-    text << message.base();
-    co_return co_await write(text.str());
+    co_return co_await write(encode_response_head(head, response_framing::chunked, keep_alive_));
 }
 
 core::task<core::result<void>> server_connection::implementation::write(std::string bytes)
@@ -157,7 +155,24 @@
     response answer;
     answer.status = status;
     answer.body = "{\"outcome\":\"not_run\",\"reason\":\"" + reason + "\"}";
-    co_await reply(std::move(answer));
+    const core::result<void> sent = co_await send(std::move(answer));
+    if (sent) {
+        co_await discard_input();
+    }
+    close();
+}
+
+core::task<void> server_connection::implementation::discard_input()
+{
+    boost::system::error_code failure;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+    stream_.expires_after(discard_timeout);
+    std::array<char, 4096> bytes{};
+    std::size_t discarded = 0;
+    while (!failure && discarded < max_discarded_bytes) {
+        discarded += co_await stream_.async_read_some(
+            asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+    }
 }
 
 void server_connection::implementation::close()
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -6,6 +6,7 @@
 #include "http/httpconstants.h"
 #include "http/httpmessage.h"
 
+#include <concepts>
 #include <memory>
 
 namespace currantpitch::http {
@@ -53,6 +54,16 @@
     std::unique_ptr<implementation> impl_;
 };
 
+/// A handler that sets the limits on the requests that it takes. They apply from the first request
+/// of a connection.
+template <class H>
+concept limiting_handler = requires(const H& handler)
+{
+    {
+        handler.limits()
+        } -> std::same_as<server_limits>;
+};
+
 /// Accepts connections until the acceptor closes and runs one task for each connection. The handler
 /// is called as handler(server_connection&, const request&) -> task<void> for each request and must
 /// outlive the connections.
@@ -76,6 +87,9 @@
                               [](core::asio::ip::tcp::socket s, Handler& h) -> core::task<void> {
                                   server_connection connection(std::move(s));
                                   while (connection.reusable()) {
+                                      if constexpr (limiting_handler<Handler>) {
+                                          connection.set_limits(h.limits());
+                                      }
                                       const core::result<request> received =
                                           co_await connection.read_request();
                                       if (!received) {
--- a/src/proxy/requesthandler.h
+++ b/src/proxy/requesthandler.h
@@ -16,6 +16,8 @@
     explicit request_handler(proxy_context& context) : context_(context) {}
 
     core::task<void> operator()(http::server_connection& caller, http::request received);
+    /// Limits of the configuration in force, or the defaults until there is one.
+    http::server_limits limits() const;
 
 private:
     struct routing_decision {
@@ -86,6 +88,15 @@
            now + std::min(request.timeout, route.timeout) > *context_.stop_deadline;
 }
 
+template <proxy_dialect Dialect>
+http::server_limits request_handler<Dialect>::limits() const
+{
+    const std::shared_ptr<const routes::route_table>& table = context_.configuration.table();
+    return table ? http::server_limits{table->limits().header_bytes, table->limits().body_bytes,
+                                       table->limits().idle_timeout}
+                 : http::server_limits{};
+}
+
 template <proxy_dialect Dialect>
 core::task<void> request_handler<Dialect>::operator()(http::server_connection& caller,
                                                       http::request received)
@@ -94,10 +105,6 @@
         caller.close_after_response();
     }
     const std::shared_ptr<const routes::route_table>& table = context_.configuration.table();
-    if (table) {
-        caller.set_limits({table->limits().header_bytes, table->limits().body_bytes,
-                           table->limits().idle_timeout});
-    }
     core::result<caller_request> request = Dialect::read_request(std::move(received));
     if (!request) {
         core::log_event("request_malformed").field("reason", request.error().detail);
--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -212,6 +212,7 @@
     scripted_endpoint b{context, "b"};
     std::string answer;
     std::chrono::milliseconds route_timeout{1500};
+    routes::caller_limits limits;
     std::uint64_t last_incarnation = 0;
     core::service_id service{"s"};
 
@@ -241,6 +242,7 @@
         r.max_attempts = 2;
         r.services = {{service, 1}};
         c.routes = {r};
+        c.limits = limits;
         if (requires_key) {
             routes::workspace w;
             w.name = core::workspace_id("w");
--- a/src/proxy/tests/tst_requestflow.cpp
+++ b/src/proxy/tests/tst_requestflow.cpp
@@ -78,6 +78,18 @@
     CHECK(answer.find("text") == std::string::npos);
 }
 
+// Guards against a head above 64 KiB that the proxy reads and cannot pass on (review case 7).
+TEST(request_flows, long_head_reaches_the_endpoint)
+{
+    limits.header_bytes = 262'144;
+    configure(routes::retry_policy::at_most_once);
+    a.replies = {{full_answer("7", "text")}};
+    const std::string target = "/" + std::string(75'000, 't');
+    send_request("Parts: " + std::string(75'000, 'x') + "\r\n", target);
+    LONGS_EQUAL(200, status());
+    CHECK(a.received_requests.at(0).find(target) != std::string::npos);
+}
+
 // Bytes that are no answer may come without end. What the process keeps of them is bounded, and the
 // caller is told before its own timeout.
 // A host of a group stood still for four seconds. Streams were sent to a second rank, which read
