Tell endpoints of public routes whose key a request bears

Cause: route_request looked keys up only on routes that require one.

Evidence: the encoder writes the name of each workspace that it gets, and the line "request" shows none on such a route.

Change: a key counts wherever it is sent. Without a key the route stays open.

Measured: endpoint_of_a_public_route_learns_the_workspace_of_a_key fails before and passes now.

--- a/src/proxy/requesthandler.h
+++ b/src/proxy/requesthandler.h
@@ -50,7 +50,9 @@
         return {std::nullopt, {503, "stopping", std::nullopt}};
     }
     const routes::workspace* workspace = nullptr;
-    if (table->access_to_routes() != routes::access::open && !route->allow_anonymous) {
+    // A caller that sends a key to a public route is known to the endpoint all the same.
+    const bool key_counts = !route->allow_anonymous || request.key;
+    if (table->access_to_routes() != routes::access::open && key_counts) {
         // Checked after the request was read, so that a key that was revoked before the request
         // was sent is not accepted for longer than the bound.
         if (context_.configuration.age() > context_.bounds.max_configuration_age) {
--- a/src/proxy/tests/flowsite.h
+++ b/src/proxy/tests/flowsite.h
@@ -38,6 +38,9 @@
     {
         http::request message = request.message;
         message.headers = {{"Id", request.id}, {"For", call.endpoint.str()}};
+        if (call.workspace) {
+            message.headers.push_back({"Workspace", call.workspace->str()});
+        }
         if (call.last_event_id) {
             message.headers.push_back({"Last", std::to_string(*call.last_event_id)});
         }
@@ -213,6 +216,7 @@
     std::string answer;
     std::chrono::milliseconds route_timeout{1500};
     routes::caller_limits limits;
+    bool route_is_public = false;
     std::uint64_t last_incarnation = 0;
     core::service_id service{"s"};
 
@@ -241,6 +245,7 @@
         r.target_gap = 100ms;
         r.max_attempts = 2;
         r.services = {{service, 1}};
+        r.allow_anonymous = route_is_public;
         c.routes = {r};
         c.limits = limits;
         if (requires_key) {
--- a/src/proxy/tests/tst_requestflow.cpp
+++ b/src/proxy/tests/tst_requestflow.cpp
@@ -245,6 +245,26 @@
     LONGS_EQUAL(200, status());
 }
 
+// Guards against endpoints that don't learn whose request it is once its route is public (review
+// case 10).
+TEST(request_flows, endpoint_of_a_public_route_learns_the_workspace_of_a_key)
+{
+    route_is_public = true;
+    configure(routes::retry_policy::idempotent, true);
+    a.replies = {{full_answer("7", "text")}, {full_answer("7", "text")}};
+    send_request("Key: k\r\n");
+    LONGS_EQUAL(200, status());
+    CHECK(a.received_requests.at(0).find("Workspace: w") != std::string::npos);
+    answer.clear();
+    send_request();
+    LONGS_EQUAL(200, status());
+    CHECK(a.received_requests.at(1).find("Workspace:") == std::string::npos);
+    answer.clear();
+    send_request("Key: other\r\n");
+    LONGS_EQUAL(401, status());
+    LONGS_EQUAL(2, received_requests());
+}
+
 TEST(request_flows, keys_are_refused_beyond_the_maximum_configuration_age)
 {
     configure(routes::retry_policy::idempotent, true);
