--- a/src/http/internal/headencoder.cpp
+++ b/src/http/internal/headencoder.cpp
@@ -1,9 +1,10 @@
 #include "http/internal/headencoder.h"
 
-#include <boost/beast/http/status.hpp>
-
 #include <algorithm>
 #include <array>
+#include <ostream>
+
+#include <boost/beast/http/status.hpp>
 
 namespace currantpitch::http {
 
