Shorten the configuration's watch calls with the revocation time

Cause: keys are trusted for the revocation time after the start of the watch call that returned last, and calls last 1.4 s. With a bound below 2.4 s, which was in the range of the setting before, a gateway is not ready for a part of each call; with one below 1.7 s it refuses keys. Seen by reading while the range of the settings was looked at.

Change: the wait of a call is 0.28 of the revocation time, between 0.1 and 1.4 s; 5 s, as in all deployments at hand, gives 1.4 s as before.

Measured: short_revocation_times_shorten_the_watch_calls passes; no case with a short bound was played.

--- a/src/gateway/gatewayconstants.h
+++ b/src/gateway/gatewayconstants.h
@@ -2,15 +2,27 @@
 
 #include "objectstore/kindpoll.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
 namespace currantpitch::gateway {
 
 /// Timing of the configuration feed. The configuration is confirmed as current only when a watch
-/// call returns, so the wait time of a call bounds the age of the API keys.
+/// call returns, so the wait time of a call bounds the age of the API keys. With a short revocation
+/// time, calls are shorter, down to what the store can be asked for.
 inline constexpr objectstore::feed_timing configuration_feed_timing{
     std::chrono::milliseconds(1400), std::chrono::milliseconds(0), std::chrono::milliseconds(500)};
+inline constexpr std::chrono::milliseconds min_configuration_watch_wait{100};
+inline constexpr double configuration_watch_fraction = 0.28;
+inline objectstore::feed_timing configuration_timing_for(std::chrono::milliseconds revocation_time)
+{
+    objectstore::feed_timing timing = configuration_feed_timing;
+    const std::chrono::milliseconds wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+        revocation_time * configuration_watch_fraction);
+    timing.watch_wait = std::clamp(wait, min_configuration_watch_wait, timing.watch_wait);
+    return timing;
+}
 /// Timing of the endpoint feed. Endpoints need no confirmation, so calls may wait long. Many
 /// changes arrive together when processes start, so a delay after each change gathers them. The
 /// delay is short enough that a change directly after another is still applied before the time at
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -51,7 +51,6 @@
     };
 
     static proxy::proxy_bounds bounds_of(const settings::node_settings& s);
-    void apply_memory(const settings::node_settings& s);
     core::result<void> listen();
     void start_feeds();
     bool ready() const;
@@ -113,16 +112,6 @@
     return b;
 }
 
-template <site_platform Site>
-void gateway_node<Site>::apply_memory(const settings::node_settings& s)
-{
-    constexpr double bytes_per_mib = 1024 * 1024;
-    context_.request_bodies.set_limit(s.memory_mib
-                                          ? static_cast<std::size_t>(*s.memory_mib * bytes_per_mib *
-                                                                     proxy::request_memory_fraction)
-                                          : proxy::default_request_bytes);
-}
-
 template <site_platform Site>
 gateway_node<Site>::gateway_node(const core::asio::any_io_executor& executor,
                                  settings::node_settings settings, std::uint64_t seed)
@@ -140,7 +129,7 @@
       quarantines_(executor, store_, context_.requests),
       evacuations_(executor, store_, context_, *hub_, settings_.evacuation_time, seed + 5),
       configuration_feed_(executor, store_, Site::configuration_key().kind, configuration_sink_,
-                          configuration_feed_timing, seed + 1),
+                          configuration_timing_for(settings_.revocation_time), seed + 1),
       endpoint_feed_(executor, store_, Site::endpoint_kind(), endpoint_sink_, endpoint_feed_timing,
                      seed + 2),
       host_feed_(store_, std::string(intents::to_string(intents::resource_kind::host)), host_sink_,
@@ -151,7 +140,7 @@
       readiness_listener_(executor), metrics_listener_(executor), peer_listener_(executor),
       stop_(executor)
 {
-    apply_memory(settings_);
+    context_.set_memory(settings_.memory_mib);
     hub_->on_message = [this](const core::host_id& peer, std::uint8_t type,
                               const std::string& payload) {
         on_peer_message(peer, type, payload);
@@ -262,7 +251,7 @@
     context_.bounds.max_configuration_age = bounds_of(changed).max_configuration_age;
     context_.bounds.cold_start = bounds_of(changed).cold_start;
     endpoint_signals_.apply_bounds();
-    apply_memory(changed);
+    context_.set_memory(changed.memory_mib);
 }
 
 template <site_platform Site>
--- a/src/gateway/tests/tst_configurationexchange.cpp
+++ b/src/gateway/tests/tst_configurationexchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/eventlog.h"
 #include "gateway/configurationexchange.h"
+#include "gateway/gatewayconstants.h"
 
 using namespace currantpitch;
 using namespace currantpitch::testing;
@@ -56,6 +57,20 @@
     }
 };
 
+// Guards against a gateway that is out of service for a part of each watch call, as its keys are
+// too old by then.
+TEST(configuration_exchanges, short_revocation_times_shorten_the_watch_calls)
+{
+    using namespace std::chrono_literals;
+    CHECK(gateway::configuration_timing_for(5000ms).watch_wait == 1400ms);
+    CHECK(gateway::configuration_timing_for(1h).watch_wait == 1400ms);
+    CHECK(gateway::configuration_timing_for(0ms).watch_wait == 100ms);
+    for (const std::chrono::milliseconds time : {1000ms, 2000ms, 2400ms, 4900ms}) {
+        CHECK(gateway::configuration_timing_for(time).watch_wait <=
+              time * gateway::max_ready_age_ratio / 2);
+    }
+}
+
 // A gateway that started after a restore served the older copy, with keys that had been revoked.
 TEST(configuration_exchanges, gateway_that_starts_after_a_restore_keeps_the_older_copy)
 {
--- a/src/proxy/proxycontext.cpp
+++ b/src/proxy/proxycontext.cpp
@@ -72,6 +72,14 @@
     }
 }
 
+void proxy_context::set_memory(std::optional<double> mib)
+{
+    constexpr double bytes_per_mib = 1024 * 1024;
+    request_bodies.set_limit(
+        mib ? static_cast<std::size_t>(*mib * bytes_per_mib * request_memory_fraction)
+            : default_request_bytes);
+}
+
 void proxy_context::apply_endpoints()
 {
     std::map<core::service_id, std::vector<dispatch::available_endpoint>> by_service;
--- a/src/proxy/proxycontext.h
+++ b/src/proxy/proxycontext.h
@@ -79,6 +79,8 @@
 
     /// Returns the state of a service, which is created on first use.
     service_state& service(const core::service_id& name);
+    /// Sets the memory of the process, in MiB, of which a part is for callers' bodies.
+    void set_memory(std::optional<double> mib);
     /// Updates every service with its current endpoints and its profile from the configuration.
     void apply_endpoints();
     /// Records the cold times that are new and whose services are configured.
