Spell the type of a report of settings

Cause: the house style keeps auto for iterators and lambdas. Change: settings_watch names the type that its reader returns.

--- a/src/settings/settingswatch.h
+++ b/src/settings/settingswatch.h
@@ -6,6 +6,7 @@
 #include "settings/settingsfile.h"
 
 #include <concepts>
+#include <type_traits>
 
 namespace currantpitch::settings {
 
@@ -43,7 +44,7 @@
             record_examination(file_.path(), problems, {});
             return;
         }
-        const auto report = read_(*text, file_.path());
+        const report_type report = read_(*text, file_.path());
         record_examination(file_.path(), report.problems, report.adjustments);
         if (report.settings) {
             apply_(*report.settings);
@@ -61,6 +62,8 @@
     }
 
 private:
+    using report_type = std::invoke_result_t<const Read&, const std::string&, const std::string&>;
+
     settings_file file_;
     Read read_;
     Apply apply_;
