--- a/review/kit-3/limits.cpp
+++ b/review/kit-3/limits.cpp
@@ -35,7 +35,9 @@
         configure(3, trouble_ ? old_body_limit : new_body_limit);
         for (int i = 0; i < 3; ++i) {
             const std::string name = "i-desk-" + std::to_string(i);
-            site_.add_replica(name, new_body_limit, [this, name](const arrival& a) {
+            endpoint_options options;
+            options.endpoint = core::endpoint_id(name);
+            site_.add_replica(options, new_body_limit, [this, name](const arrival& a) {
                 record_.line("replica " + name + ": " + (a.runs ? "runs " : "refuses ") +
                              a.request + ", " + std::to_string(a.body.size()) + " B");
             });
--- a/review/kit-3/smallsite.h
+++ b/review/kit-3/smallsite.h
@@ -37,6 +37,9 @@
     standin_endpoint endpoint;
     asio::ip::tcp::acceptor listener;
     std::size_t max_body_bytes;
+    /// The address in its entry; it leads to the listener until the replica ends.
+    asio::ip::tcp::endpoint address;
+    soak::fault_proxy link;
 
     std::string name() const { return endpoint.options().endpoint.str(); }
     http::server_limits limits() const
@@ -91,27 +94,34 @@
             configuration_);
     }
 
-    void add_replica(const std::string& name, std::size_t max_body_bytes,
+    void add_replica(endpoint_options options, std::size_t max_body_bytes,
                      std::function<void(const arrival&)> observe)
     {
-        endpoint_options o;
-        o.endpoint = core::endpoint_id(name);
-        o.service = core::service_id(service_name);
-        replicas_.push_back(std::make_unique<replica>(
-            replica{standin_endpoint(o, std::move(observe)),
-                    asio::ip::tcp::acceptor(context_, free_address(context_)), max_body_bytes}));
-        core::spawn(context_.get_executor(),
-                    http::serve(replicas_.back()->listener, *replicas_.back()));
-        write_entry(*replicas_.back());
+        options.service = core::service_id(service_name);
+        asio::ip::tcp::acceptor listener(context_, free_address(context_));
+        const asio::ip::tcp::endpoint target = listener.local_endpoint();
+        const asio::ip::tcp::endpoint address = free_address(context_);
+        replicas_.push_back(std::unique_ptr<replica>(new replica{
+            standin_endpoint(std::move(options), std::move(observe)), std::move(listener),
+            max_body_bytes, address, soak::fault_proxy(executor(), address, target)}));
+        replica& r = *replicas_.back();
+        core::spawn(executor(), http::serve(r.listener, r));
+        core::spawn(executor(), r.link.run());
+        write_entry(r);
+    }
+    /// The process of a replica ends: its connections break, and nobody listens.
+    static void end(replica& r)
+    {
+        r.link.set_faults({.gone = true});
+        r.link.reset_all();
     }
     /// Writes the entry of a replica in the store, as the replica does.
     void write_entry(const replica& r)
     {
         const endpoint_options& o = r.endpoint.options();
         store_.put({std::string(platform::endpoint_kind), r.name()},
-                   boost::json::parse(
-                       encode_registration(service_name, text_of(r.listener.local_endpoint()),
-                                           "zone-a", o.slots, false, o.incarnation)));
+                   boost::json::parse(encode_registration(
+                       service_name, text_of(r.address), "zone-a", o.slots, false, o.incarnation)));
     }
     void remove_entry(const replica& r)
     {
