End a case's processes also when its driver has died

A driver that was killed left its gateways behind. The scripts now end the process group that timeout leads. Shown by killing the driver of case 12: the script ended with 2, and no gateway was left; the cases' results are as before.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -13,8 +13,18 @@
     exit 2
 }
 work="$(mktemp -d)"
-trap 'rm -rf "$work"' EXIT
-timeout -k 5 110 "$driver" "$program" "$work" "$PWD/record.txt" "${TROUBLE:-1}"
+group=""
+# timeout leads a process group of its own, to which the gateways belong: they end even if the driver
+# could not end them.
+finish() {
+    [ -z "$group" ] || kill -KILL -- "-$group" 2>/dev/null
+    rm -rf "$work"
+}
+trap finish EXIT
+trap 'exit 2' INT TERM
+timeout -k 5 110 "$driver" "$program" "$work" "$PWD/record.txt" "${TROUBLE:-1}" &
+group=$!
+wait "$group"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
