--- a/review/kit-3/site.h
+++ b/review/kit-3/site.h
@@ -25,11 +25,14 @@
 namespace asio = currantpitch::core::asio;
 namespace core = currantpitch::core;
 
-/// A loopback address with a port that is free now.
+/// An address with a port that is free now, on a loopback address of this process: outgoing
+/// connections have another one, so that they don't take the port meanwhile.
 inline asio::ip::tcp::endpoint free_address(asio::io_context& context)
 {
-    asio::ip::tcp::acceptor probe(
-        context, asio::ip::tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
+    const unsigned number = static_cast<unsigned>(::getpid()) % 30000;
+    const asio::ip::address_v4 own((127U << 24) | ((64 + number / 250) << 16) |
+                                   ((1 + number % 250) << 8) | 1);
+    asio::ip::tcp::acceptor probe(context, asio::ip::tcp::endpoint(own, 0));
     return probe.local_endpoint();
 }
 
